--- /dev/null
+++ b/cmd/redwingpath/cgo.go
@@ -0,0 +1,3 @@
+package main
+
+import "C" // the platform requires programs to be linked against the C library
--- a/cmd/redwingpath/main.go
+++ b/cmd/redwingpath/main.go
@@ -57,6 +57,7 @@
 			serveCommand(stderr, parts),
 			checkCommand(stdout, stderr),
 			devCommand(stdout, stderr, parts),
+			gatewayCommand(stderr),
 			versionCommand(stdout, stderr),
 		},
 	}
--- /dev/null
+++ b/pkg/duty/duty.go
@@ -0,0 +1,351 @@
+// Package duty gives the duties that only one host may carry out to one holder.
+// A host claims them by a conditional append to the platform's log; the offset of
+// the claim is the fencing token. Everything that must not be done in two ways,
+// such as the figures of a usage report, is written to the same log before it is
+// done. Each append names the end of the log that its writer has read, so that a
+// host that has lost the duties cannot write.
+package duty
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/redwingpath/redwingpath/pkg/model"
+)
+
+// ErrConflict means that the log does not end where an append expected it.
+var ErrConflict = errors.New("the log has grown")
+
+// Log is a topic of the platform's log.
+type Log interface {
+	// AppendAt appends a record if the log ends at the given offset. It fails
+	// with ErrConflict, or with another error if it is unknown whether the record
+	// was appended.
+	AppendAt(ctx context.Context, record []byte, at uint64) error
+	// Read returns the records from an offset on and the end. Offsets that were
+	// dropped are skipped; first is the offset of the first record returned.
+	Read(ctx context.Context, from uint64) (records [][]byte, first, end uint64, err error)
+}
+
+// Kind is the kind of a record.
+type Kind string
+
+// Kinds of records.
+const (
+	// KindClaim takes the duties.
+	KindClaim Kind = "claim"
+	// KindAlive shows that a holder lives that its peers may not hear.
+	KindAlive Kind = "alive"
+	// KindUsage fixes the figures of a usage window.
+	KindUsage Kind = "usage"
+)
+
+// Record is one record of the log.
+type Record struct {
+	ID          string                         `json:"id"`
+	Kind        Kind                           `json:"kind"`
+	Host        string                         `json:"host"`
+	Incarnation string                         `json:"incarnation"`
+	Window      int64                          `json:"window,omitempty"`
+	Counts      map[model.OrganisationID]int64 `json:"counts,omitempty"`
+}
+
+// Timing of claims. A holder that died is replaced within 5 s, half of the time
+// in which a usage report is due.
+const (
+	// silence is how long the holder must not be heard of before a claim.
+	silence = 2500 * time.Millisecond
+	// confirm is how long the log must stay unchanged besides. It is above the
+	// interval of KindAlive, and together with silence above the platform's lease.
+	confirm = 1600 * time.Millisecond
+	// aliveInterval is the interval of KindAlive.
+	aliveInterval = 800 * time.Millisecond
+	// settle keeps a host that has just started from claiming, unless nobody ever
+	// held the duties.
+	settle = 6 * time.Second
+	// refusedPause keeps a host that was fenced off from claiming again at once.
+	refusedPause = 4 * time.Second
+	// usageKept is the number of usage windows whose figures are kept.
+	usageKept = 32
+)
+
+// Keeper is one host's part in the duties. Step must be called at least four
+// times a second by one goroutine.
+type Keeper struct {
+	Host        string
+	Incarnation string
+	Log         Log
+	Logger      *zap.Logger
+
+	mu sync.Mutex
+	// end is the end of the log as read.
+	end  uint64
+	read bool
+	// holder, holderIncarnation and fence are from the latest claim.
+	holder            string
+	holderIncarnation string
+	fence             uint64
+	claims            int
+	usage             map[int64]Record
+	// heard is when the holder was last heard of.
+	heard time.Time
+	// quiet is the end of the log since quietSince, while a claim is considered.
+	quiet      uint64
+	quietSince time.Time
+	started    time.Time
+	notBefore  time.Time
+	lastAlive  time.Time
+	// resigned is set after a pause, until the log was read again.
+	resigned bool
+}
+
+// Start notes the start of the process.
+func (k *Keeper) Start(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.started = now
+	k.heard = now
+	k.usage = map[int64]Record{}
+}
+
+// Holding tells who holds the duties as far as the host knows.
+func (k *Keeper) Holding() (holder string, fence uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.holder, k.fence
+}
+
+// Mine tells whether this process holds the duties.
+func (k *Keeper) Mine() (fence uint64, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.fence, k.mine()
+}
+
+func (k *Keeper) mine() bool {
+	return !k.resigned && k.holder == k.Host && k.holderIncarnation == k.Incarnation
+}
+
+// Hear notes that a host says it holds the duties.
+func (k *Keeper) Hear(host string, fence uint64, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if fence < k.fence {
+		return
+	}
+	if fence > k.fence {
+		k.holder, k.holderIncarnation, k.fence = host, "", fence
+	}
+	k.heard = now
+}
+
+// Resign gives the duties up, for instance after a pause. The host may claim
+// them again later.
+func (k *Keeper) Resign(reason string, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.mine() {
+		k.Logger.Warn("duties given up", zap.String("reason", reason), zap.Uint64("fence", k.fence))
+	}
+	k.resigned = true
+	k.notBefore = now.Add(refusedPause)
+	k.heard = now
+}
+
+// Step claims the duties if nobody holds them. isolated tells that the host
+// hears few of its peers.
+func (k *Keeper) Step(ctx context.Context, isolated bool, now time.Time) error {
+	k.mu.Lock()
+	mine := k.mine()
+	waiting := now.Sub(k.heard) < silence || now.Before(k.notBefore)
+	alive := mine && isolated && now.Sub(k.lastAlive) >= aliveInterval
+	k.mu.Unlock()
+	switch {
+	case alive:
+		return k.showAlive(ctx, now)
+	case mine || waiting:
+		return nil
+	}
+	return k.consider(ctx, now)
+}
+
+func (k *Keeper) showAlive(ctx context.Context, now time.Time) error {
+	k.mu.Lock()
+	k.lastAlive = now
+	k.mu.Unlock()
+	return k.write(ctx, Record{Kind: KindAlive})
+}
+
+// consider claims once the log has not grown for the time of confirm.
+func (k *Keeper) consider(ctx context.Context, now time.Time) error {
+	if err := k.catchUp(ctx); err != nil {
+		k.mu.Lock()
+		k.quietSince = time.Time{}
+		k.mu.Unlock()
+		return err
+	}
+	k.mu.Lock()
+	if k.quietSince.IsZero() || k.quiet != k.end {
+		k.quiet, k.quietSince = k.end, now
+	}
+	never := k.claims == 0 && k.end == 0
+	ripe := now.Sub(k.quietSince) >= confirm && now.Sub(k.started) >= settle || never
+	k.mu.Unlock()
+	if !ripe {
+		return nil
+	}
+	return k.claim(ctx, now)
+}
+
+func (k *Keeper) claim(ctx context.Context, now time.Time) error {
+	k.mu.Lock()
+	at := k.end
+	k.quietSince = time.Time{}
+	k.mu.Unlock()
+	record := k.sign(Record{Kind: KindClaim})
+	err := k.append(ctx, record, at)
+	if err != nil && !errors.Is(err, ErrConflict) {
+		// The claim may be in the log. It is found by reading on.
+		k.Logger.Info("the answer to a claim was lost", zap.Error(err))
+	}
+	if err := k.catchUp(ctx); err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.heard = now
+	k.Logger.Info("duties claimed", zap.String("holder", k.holder), zap.Uint64("fence", k.fence), zap.Bool("mine", k.mine()))
+	return nil
+}
+
+func (k *Keeper) sign(r Record) Record {
+	r.ID = ulid.Make().String()
+	r.Host = k.Host
+	r.Incarnation = k.Incarnation
+	return r
+}
+
+func (k *Keeper) append(ctx context.Context, r Record, at uint64) error {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return eris.Wrap(err, "encode a duty record")
+	}
+	return k.Log.AppendAt(ctx, raw, at)
+}
+
+// catchUp reads the log to its end.
+func (k *Keeper) catchUp(ctx context.Context) error {
+	k.mu.Lock()
+	from := k.end
+	k.mu.Unlock()
+	records, first, end, err := k.Log.Read(ctx, from)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for i, raw := range records {
+		offset := first + uint64(i)
+		if offset < k.end {
+			continue
+		}
+		k.apply(raw, offset)
+	}
+	k.end = max(k.end, end, first+uint64(len(records)))
+	k.read = true
+	return nil
+}
+
+func (k *Keeper) apply(raw []byte, offset uint64) {
+	var r Record
+	if err := json.Unmarshal(raw, &r); err != nil {
+		k.Logger.Warn("a duty record is not readable and is skipped", zap.Uint64("offset", offset), zap.Error(err))
+		return
+	}
+	switch r.Kind {
+	case KindClaim:
+		k.claims++
+		if offset+1 > k.fence {
+			k.holder, k.holderIncarnation = r.Host, r.Incarnation
+			// Offsets begin with 0, which is no valid token.
+			k.fence = offset + 1
+			k.resigned = false
+		}
+	case KindUsage:
+		if _, known := k.usage[r.Window]; !known {
+			k.usage[r.Window] = r
+		}
+		for window := range k.usage {
+			if window < r.Window-usageKept {
+				delete(k.usage, window)
+			}
+		}
+	}
+}
+
+// ErrNotHolder means that the host does not hold the duties.
+var ErrNotHolder = errors.New("this host does not hold the duties")
+
+// writeTries bounds the appends of one record; each conflict is a record of
+// another host, or an own one whose answer was lost.
+const writeTries = 4
+
+// write appends a record as the holder.
+func (k *Keeper) write(ctx context.Context, r Record) error {
+	r = k.sign(r)
+	for range writeTries {
+		k.mu.Lock()
+		at, mine := k.end, k.mine()
+		k.mu.Unlock()
+		if !mine {
+			return ErrNotHolder
+		}
+		err := k.append(ctx, r, at)
+		if err != nil && !errors.Is(err, ErrConflict) {
+			return err
+		}
+		if readErr := k.catchUp(ctx); readErr != nil {
+			return readErr
+		}
+		if err == nil {
+			return nil
+		}
+	}
+	return eris.New("the log grows faster than it can be read")
+}
+
+// Usage returns the figures under which a window must be reported. It fixes the
+// given ones unless others were fixed before.
+func (k *Keeper) Usage(ctx context.Context, window int64, counts map[model.OrganisationID]int64) (map[model.OrganisationID]int64, error) {
+	if r, ok := k.fixed(window); ok {
+		return r.Counts, nil
+	}
+	if err := k.catchUp(ctx); err != nil {
+		return nil, err
+	}
+	if r, ok := k.fixed(window); ok {
+		return r.Counts, nil
+	}
+	if err := k.write(ctx, Record{Kind: KindUsage, Window: window, Counts: counts}); err != nil {
+		return nil, err
+	}
+	r, ok := k.fixed(window)
+	if !ok {
+		return nil, eris.New("the figures of a usage window are not in the log")
+	}
+	return r.Counts, nil
+}
+
+func (k *Keeper) fixed(window int64) (Record, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	r, ok := k.usage[window]
+	return r, ok
+}
--- /dev/null
+++ b/pkg/edgehost/platform.go
@@ -0,0 +1,67 @@
+package edgehost
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/redwingpath/redwingpath/pkg/catalog"
+	"github.com/redwingpath/redwingpath/pkg/duty"
+	"github.com/redwingpath/redwingpath/pkg/mirror"
+	"github.com/redwingpath/redwingpath/pkg/model"
+	"github.com/redwingpath/redwingpath/pkg/placement"
+)
+
+// Topics of the platform's store.
+const (
+	// TopicConfiguration holds the operator's configuration.
+	TopicConfiguration = "configuration"
+	// TopicBackends holds the registrations of backend servers.
+	TopicBackends = "backends"
+	// TopicHosts holds the addresses of this system's hosts.
+	TopicHosts = "hosts"
+	// TopicDuties is the log of the duties.
+	TopicDuties = "duties"
+)
+
+// ErrConflict means that the platform refused a call in the present state, or
+// that another host acts with a higher fencing token.
+var ErrConflict = errors.New("the platform refused the call")
+
+// Registration is what a backend server says of itself.
+type Registration struct {
+	placement.Backend
+	// Born is the time of the server's start. Unit: Unix milliseconds.
+	Born int64
+	// Orders is the number of orders that the server has accepted.
+	Orders uint64
+	// Leaves is the time until a reclaimed server is gone, 0 if unknown.
+	Leaves time.Duration
+}
+
+// ScaleOrder sets the number of a service's backend servers in a data centre.
+type ScaleOrder struct {
+	Service    model.PoolName
+	DataCentre model.DataCentreID
+	Desired    int
+	// Spot servers are cheap and may be reclaimed.
+	Spot bool
+}
+
+// Platform is what the host needs of the platform.
+type Platform interface {
+	mirror.Store
+	// Put writes the newest record of a key; an empty value removes it.
+	Put(ctx context.Context, topic, key string, value []byte) error
+	// DutyLog is the log of the duties.
+	DutyLog() duty.Log
+	// Configuration decodes the operator's configuration.
+	Configuration(raw []byte) (catalog.Config, error)
+	// Backend decodes a registration.
+	Backend(id string, raw []byte) (Registration, error)
+	// ReportUsage reports a usage window. It fails with ErrConflict if another
+	// host has acted with a higher fencing token.
+	ReportUsage(ctx context.Context, holder string, fence uint64, window int64, counts map[model.OrganisationID]int64) error
+	// Scale orders backend servers.
+	Scale(ctx context.Context, holder string, fence uint64, o ScaleOrder) error
+}
--- /dev/null
+++ b/pkg/mesh/mesh.go
@@ -0,0 +1,370 @@
+package mesh
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/redwingpath/redwingpath/pkg/mirror"
+	"github.com/redwingpath/redwingpath/pkg/peer"
+)
+
+// Names of the rpc service.
+const (
+	serviceName     = "Mesh"
+	methodExchange  = serviceName + ".Exchange"
+	methodRecords   = serviceName + ".Records"
+	exchangeTimeout = 700 * time.Millisecond
+)
+
+const (
+	// interval is the pause between exchanges of a small deployment.
+	interval = 200 * time.Millisecond
+	// intervalPerPeer keeps a host at no more than 100 messages a second however
+	// many hosts there are.
+	intervalPerPeer = 10 * time.Millisecond
+	// silentAfter is the silence from which a peer counts as lost.
+	silentAfter = 1500 * time.Millisecond
+	// retryLost is the pause between attempts to reach a lost peer.
+	retryLost = time.Second
+	// forgetAfter is the silence after which a peer is no longer tried.
+	forgetAfter = 2 * time.Minute
+)
+
+// Deps are the parts of the host that the mesh connects.
+type Deps struct {
+	Self Member
+	// Seeds are addresses of hosts that may be stale.
+	Seeds []string
+	// Topics are the copies that hosts pass on.
+	Topics map[string]*mirror.Table
+	// Compose fills in the sender's part of a message.
+	Compose func(m *Message)
+	// Heard takes a message.
+	Heard func(m *Message)
+	// Clock takes a peer's time, measured at ours.
+	Clock func(peer string, theirs, ours time.Time)
+	Now   func() time.Time
+	// Changed takes records that a peer's copy brought.
+	Changed func(topic string, records []mirror.Record)
+	// Lost and Back report the loss and return of peers.
+	Lost func(host string)
+	Back func(host string)
+	Log  *zap.Logger
+}
+
+// Mesh is one host's part in the exchange. It is safe for concurrent use.
+type Mesh struct {
+	deps   Deps
+	client *peer.Client
+	server *peer.Server
+
+	mu      sync.Mutex
+	members map[string]*memberState
+	stopped bool
+	pulling sync.Map
+}
+
+type memberState struct {
+	Member
+	// heard is when a message or reply last came.
+	heard time.Time
+	tried time.Time
+	busy  bool
+	lost  bool
+}
+
+// New returns a mesh that listens at an address.
+func New(d Deps, listen string) (*Mesh, error) {
+	m := &Mesh{
+		deps:    d,
+		client:  peer.NewClient(peer.ClientConfig{CallTimeout: exchangeTimeout, DialTimeout: exchangeTimeout}),
+		members: map[string]*memberState{},
+	}
+	server, err := peer.NewServer(nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	if err := server.Register(serviceName, &service{m}); err != nil {
+		return nil, err
+	}
+	if _, err := server.Listen(listen); err != nil {
+		return nil, err
+	}
+	m.server = server
+	return m, nil
+}
+
+// Run exchanges messages until ctx ends, and then says goodbye.
+func (m *Mesh) Run(ctx context.Context) {
+	go func() {
+		if err := m.server.Serve(); err != nil {
+			m.deps.Log.Error("the listener for peers failed", zap.Error(err))
+		}
+	}()
+	for ctx.Err() == nil {
+		pause := m.round(ctx)
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+	m.goodbye()
+	m.client.Close()
+	if err := m.server.Close(); err != nil {
+		m.deps.Log.Debug("closing the listener for peers failed", zap.Error(err))
+	}
+}
+
+// round starts an exchange with each peer that has ended the last one.
+func (m *Mesh) round(ctx context.Context) time.Duration {
+	now := time.Now()
+	message := m.compose()
+	targets := m.targets(now)
+	for _, t := range targets {
+		go m.exchange(ctx, t, message)
+	}
+	return max(interval, time.Duration(len(targets))*intervalPerPeer)
+}
+
+func (m *Mesh) compose() *Message {
+	message := &Message{From: m.deps.Self, Now: m.deps.Now(), Ends: m.ends(), Members: m.Live()}
+	m.deps.Compose(message)
+	return message
+}
+
+func (m *Mesh) ends() map[string]uint64 {
+	ends := make(map[string]uint64, len(m.deps.Topics))
+	for topic, table := range m.deps.Topics {
+		if table.Complete() {
+			ends[topic] = table.End()
+		}
+	}
+	return ends
+}
+
+// targets picks the addresses for a round: members, and seeds while no member
+// is known.
+func (m *Mesh) targets(now time.Time) []*memberState {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var targets []*memberState
+	for host, s := range m.members {
+		silence := now.Sub(s.heard)
+		if silence > forgetAfter && host != s.Address {
+			delete(m.members, host)
+			continue
+		}
+		if silence > silentAfter {
+			if !s.lost {
+				s.lost = true
+				go m.deps.Lost(host)
+			}
+			if now.Sub(s.tried) < retryLost {
+				continue
+			}
+		}
+		if s.busy {
+			continue
+		}
+		s.busy = true
+		s.tried = now
+		targets = append(targets, s)
+	}
+	if len(m.members) == 0 {
+		for _, address := range m.deps.Seeds {
+			if address == m.deps.Self.Address {
+				continue
+			}
+			s := &memberState{Member: Member{Host: address, Address: address}, busy: true, lost: true, tried: now, heard: now}
+			m.members[address] = s
+			targets = append(targets, s)
+		}
+	}
+	return targets
+}
+
+func (m *Mesh) exchange(ctx context.Context, s *memberState, message *Message) {
+	before := m.deps.Now()
+	reply, err := peer.Call[Reply](ctx, m.client, s.Address, methodExchange, message)
+	after := m.deps.Now()
+	m.mu.Lock()
+	s.busy = false
+	if err == nil && m.members[s.Address] == s && s.Host == s.Address {
+		// A seed answered; it introduces itself by its own messages.
+		s.heard = time.Now()
+		m.mu.Unlock()
+		m.compare(ctx, s.Address, reply.Ends)
+		return
+	}
+	m.mu.Unlock()
+	if err != nil {
+		m.deps.Log.Debug("exchange with a peer failed", zap.String("peer", s.Host), zap.Error(err))
+		return
+	}
+	m.hear(s.Member)
+	m.deps.Clock(s.Host, reply.Now, before.Add(after.Sub(before)/2))
+	m.compare(ctx, s.Address, reply.Ends)
+}
+
+// hear notes a sign of life.
+func (m *Mesh) hear(from Member) {
+	m.mu.Lock()
+	s := m.members[from.Host]
+	if s == nil || s.Incarnation != from.Incarnation || s.Address != from.Address {
+		s = &memberState{lost: true}
+		m.members[from.Host] = s
+	}
+	// The placeholder of a seed gives way to its host.
+	if p := m.members[from.Address]; p != nil && from.Host != from.Address {
+		delete(m.members, from.Address)
+	}
+	s.Member = from
+	s.heard = time.Now()
+	back := s.lost
+	s.lost = false
+	m.mu.Unlock()
+	if back {
+		go m.deps.Back(from.Host)
+	}
+}
+
+// Introduce adds hosts that others have told of.
+func (m *Mesh) Introduce(members []Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, member := range members {
+		if member.Host == m.deps.Self.Host || m.members[member.Host] != nil || member.Address == "" {
+			continue
+		}
+		m.members[member.Host] = &memberState{Member: member, heard: time.Now().Add(-silentAfter), lost: true}
+	}
+}
+
+// Live lists the members that were heard from lately.
+func (m *Mesh) Live() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	var live []Member
+	for host, s := range m.members {
+		if now.Sub(s.heard) <= silentAfter && host != s.Address {
+			live = append(live, s.Member)
+		}
+	}
+	slices.SortFunc(live, func(a, b Member) int {
+		if a.Host < b.Host {
+			return -1
+		}
+		return 1
+	})
+	return live
+}
+
+// Known counts the members that are not forgotten.
+func (m *Mesh) Known() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.members)
+}
+
+// compare pulls the records of topics in which a peer is ahead.
+func (m *Mesh) compare(ctx context.Context, address string, ends map[string]uint64) {
+	for topic, end := range ends {
+		table := m.deps.Topics[topic]
+		if table == nil || table.Complete() && table.End() >= end {
+			continue
+		}
+		if _, busy := m.pulling.LoadOrStore(topic, true); busy {
+			continue
+		}
+		go func() {
+			defer m.pulling.Delete(topic)
+			if err := m.pull(ctx, address, topic, table); err != nil {
+				m.deps.Log.Debug("reading a peer's copy failed", zap.String("topic", topic), zap.Error(err))
+			}
+		}()
+	}
+}
+
+func (m *Mesh) pull(ctx context.Context, address, topic string, table *mirror.Table) error {
+	args := RecordsArgs{Topic: topic, From: table.End()}
+	if !table.Complete() {
+		args.From = 0
+	}
+	reply, err := peer.Call[RecordsReply](ctx, m.client, address, methodRecords, args)
+	if err != nil {
+		return err
+	}
+	if !reply.Complete {
+		return eris.New("the peer's copy is not complete")
+	}
+	now := time.Now()
+	var changed []mirror.Record
+	if args.From == 0 && !table.Complete() {
+		changed = table.Snapshot(reply.Records, reply.End, now)
+	} else {
+		changed = table.Apply(reply.Records, reply.End, now)
+	}
+	if len(changed) > 0 {
+		m.deps.Changed(topic, changed)
+	}
+	return nil
+}
+
+// goodbye tells the peers that the host has stopped.
+func (m *Mesh) goodbye() {
+	message := m.compose()
+	message.From.Stopped = true
+	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, member := range m.Live() {
+		group.Go(func() {
+			_, err := peer.Call[Reply](ctx, m.client, member.Address, methodExchange, message)
+			if err != nil {
+				m.deps.Log.Debug("a peer was not told of the stop", zap.String("peer", member.Host), zap.Error(err))
+			}
+		})
+	}
+	group.Wait()
+}
+
+// service is the rpc side.
+type service struct {
+	mesh *Mesh
+}
+
+// Exchange is an rpc method.
+func (s *service) Exchange(message *Message, reply *Reply) error {
+	m := s.mesh
+	reply.Now = m.deps.Now()
+	reply.Ends = m.ends()
+	if message.From.Stopped {
+		m.mu.Lock()
+		delete(m.members, message.From.Host)
+		m.mu.Unlock()
+	} else {
+		m.hear(message.From)
+	}
+	m.Introduce(message.Members)
+	m.deps.Heard(message)
+	m.compare(context.Background(), message.From.Address, message.Ends)
+	return nil
+}
+
+// Records is an rpc method.
+func (s *service) Records(args RecordsArgs, reply *RecordsReply) error {
+	table := s.mesh.deps.Topics[args.Topic]
+	if table == nil {
+		return eris.Errorf("no such topic: %s", args.Topic)
+	}
+	reply.Records, reply.End, reply.Complete = table.Since(args.From)
+	return nil
+}
--- /dev/null
+++ b/pkg/mesh/message.go
@@ -0,0 +1,67 @@
+// Package mesh exchanges between hosts what each must know of the others: the
+// load that they send, what they admit, the usage that they count, who holds a
+// duty, and how far their copies of the platform's topics reach.
+package mesh
+
+import (
+	"time"
+
+	"github.com/redwingpath/redwingpath/pkg/mirror"
+	"github.com/redwingpath/redwingpath/pkg/model"
+	"github.com/redwingpath/redwingpath/pkg/placement"
+	"github.com/redwingpath/redwingpath/pkg/usagewindow"
+)
+
+// Member is a host that takes part in the mesh.
+type Member struct {
+	Host        string
+	Incarnation string
+	Address     string
+	// Stopped is set in a member's last words.
+	Stopped bool
+}
+
+// Holding is what a host knows of the holder of the duties.
+type Holding struct {
+	Holder string
+	Fence  uint64
+}
+
+// Message is what a host tells a peer at each exchange.
+type Message struct {
+	From Member
+	// Now is the sender's time of day.
+	Now time.Time
+	// Ends are the ends of the sender's copies by topic.
+	Ends map[string]uint64
+	// Members are the hosts that the sender hears from.
+	Members []Member
+	Load    placement.Report
+	// Admitted is what the sender has admitted since it started.
+	Admitted map[model.OrganisationID]float64
+	// Counts are the sender's counts of recent usage windows.
+	Counts  []usagewindow.Line
+	Holding Holding
+	// Suspects are digests of requests that crashed backend servers, with the
+	// number of crashes.
+	Suspects map[string]int
+}
+
+// Reply answers a message.
+type Reply struct {
+	Now  time.Time
+	Ends map[string]uint64
+}
+
+// RecordsArgs asks for a peer's copy of a topic from an offset on.
+type RecordsArgs struct {
+	Topic string
+	From  uint64
+}
+
+// RecordsReply is a peer's copy.
+type RecordsReply struct {
+	Records  []mirror.Record
+	End      uint64
+	Complete bool
+}
--- /dev/null
+++ b/pkg/placement/place.go
@@ -0,0 +1,250 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/redwingpath/redwingpath/pkg/model"
+)
+
+// Place chooses how to serve a request. It fails where no server is left.
+func (f *Fleet) Place(r *Request, now time.Time) (Plan, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := f.services[r.Service]
+	if k == nil {
+		return Plan{}, false
+	}
+	for _, strict := range []bool{true, false} {
+		if plan, ok := f.place(k, r, strict, now); ok {
+			return plan, true
+		}
+	}
+	return Plan{}, false
+}
+
+// place considers only servers without suspicion if strict is set. Suspicion is
+// a guess, so that it must not turn a request away by itself.
+func (f *Fleet) place(k *service, r *Request, strict bool, now time.Time) (Plan, bool) {
+	decide := decision{fleet: f, service: k, request: r, now: now}
+	for _, s := range k.servers {
+		if s.Leaving || slices.Contains(r.Exclude, s.ID) || strict && now.Before(s.suspectUntil) {
+			continue
+		}
+		switch s.Stage {
+		case StageNone:
+			decide.plain(s)
+		case StageDecode:
+			decide.decoders = append(decide.decoders, s)
+		case StagePrefill:
+			decide.prefillers = append(decide.prefillers, s)
+		}
+	}
+	decide.engines()
+	return decide.best, decide.found
+}
+
+// decision collects the ways to serve one request and keeps the cheapest.
+type decision struct {
+	fleet      *Fleet
+	service    *service
+	request    *Request
+	now        time.Time
+	decoders   []*server
+	prefillers []*server
+
+	best  Plan
+	cost  time.Duration
+	found bool
+}
+
+func (d *decision) offer(p Plan, cost time.Duration) {
+	if !d.found || cost < d.cost {
+		d.best, d.cost, d.found = p, cost, true
+	}
+}
+
+func (d *decision) distance(s *server) time.Duration {
+	if s.DataCentre == d.fleet.settings.DataCentre {
+		return 0
+	}
+	return d.fleet.settings.CrossDataCentre
+}
+
+func (d *decision) penalty(s *server) time.Duration {
+	return time.Duration(s.failures * float64(d.fleet.settings.FailurePenalty))
+}
+
+// plainWork is the expected time of a plain call for the order of servers.
+const plainWork = 30 * time.Millisecond
+
+// plain offers a plain service: the least loaded one, the nearest among equals.
+func (d *decision) plain(s *server) {
+	slots := max(s.Slots, 1)
+	load := s.load()
+	wait := time.Duration(max(0, load-slots+1)) * plainWork / time.Duration(slots)
+	cost := wait + time.Duration(load)*plainWork/time.Duration(slots)/4 + d.distance(s) + d.penalty(s)
+	d.offer(Plan{Run: s.Backend, Predicted: wait + plainWork, Waiting: wait}, cost)
+}
+
+// wait is the time until an engine has ended the work ahead.
+func (d *decision) wait(s *server) time.Duration {
+	return max(0, s.busyUntil.Sub(d.now))
+}
+
+// homeEngine is the engine on which all hosts expect a prompt that nobody has
+// told of. Without it, hosts would fill the caches of several engines with the
+// same part before they learn of each other's choices.
+func homeEngine(parts []Part, servers []*server) *server {
+	if len(parts) < 2 {
+		return nil
+	}
+	var home *server
+	var most uint64
+	key := parts[len(parts)-2].ID
+	for _, s := range servers {
+		if h := mix(key, s.ID); home == nil || h > most {
+			home, most = s, h
+		}
+	}
+	return home
+}
+
+func mix(key uint64, id model.BackendID) uint64 {
+	h := xxhash.Sum64String(string(id)) ^ key*0x9e3779b97f4a7c15
+	h ^= h >> 31
+	h *= 0xbf58476d1ce4e5b9
+	return h ^ h>>29
+}
+
+// cached is the expected number of the prompt's tokens that an engine keeps.
+func (d *decision) cached(s *server, home *server) int {
+	r := d.request
+	n := s.parts.prefix(r.Parts)
+	if n == 0 && s == home {
+		for _, p := range shared(r.Parts) {
+			n += p.Tokens
+		}
+		n = int(d.fleet.settings.HomeShare * float64(n))
+	}
+	return min(n, r.PromptTokens)
+}
+
+// slotWait is the wait for a place in the batch.
+func (d *decision) slotWait(s *server) time.Duration {
+	excess := s.load() - s.Slots + 1
+	if s.Slots <= 0 || excess <= 0 {
+		return 0
+	}
+	return time.Duration(excess) * meanRun / time.Duration(s.Slots)
+}
+
+// meanRun is the expected time of a request's decode for the wait for a slot.
+const meanRun = 700 * time.Millisecond
+
+func (d *decision) engines() {
+	home := homeEngine(d.request.Parts, d.decoders)
+	var richest *server
+	most := 0
+	for _, s := range append(slices.Clone(d.decoders), d.prefillers...) {
+		if n := s.parts.prefix(shared(d.request.Parts)); n > most {
+			richest, most = s, n
+		}
+	}
+	for _, s := range d.decoders {
+		d.direct(s, d.cached(s, home))
+		if richest != nil && richest != s {
+			d.fetched(s, richest, most)
+		}
+	}
+	if d.request.NoPrefill {
+		return
+	}
+	d.split()
+}
+
+// direct offers to read the prompt at a decode engine.
+func (d *decision) direct(s *server, cached int) {
+	wait := d.wait(s)
+	uncached := d.request.PromptTokens - cached
+	work := fromMillis(float64(uncached) / d.service.rates[StageDecode])
+	predicted := wait + d.slotWait(s) + work + d.service.first + d.distance(s)
+	cost := predicted + d.weigh(work) + d.penalty(s) + d.crowd(s)
+	d.offer(Plan{Run: s.Backend, Predicted: predicted, Waiting: wait, Uncached: uncached, work: work}, cost)
+}
+
+func (d *decision) weigh(work time.Duration) time.Duration {
+	return time.Duration(d.fleet.settings.WorkWeight * float64(work))
+}
+
+// crowd counts the slower steps of a fuller batch.
+func (d *decision) crowd(s *server) time.Duration {
+	return time.Duration(s.load()) * crowdPerRequest
+}
+
+// crowdPerRequest is what one more running request adds to the others' steps over
+// the length of a short answer.
+const crowdPerRequest = time.Millisecond
+
+// transfer is the time to move tokens between two engines and its cost.
+func (d *decision) transfer(tokens int, from, to *server) (took, cost time.Duration) {
+	rate := 1000.0
+	if to.Engine != nil && to.Engine.TransferTokensPerMS > 0 {
+		rate = to.Engine.TransferTokensPerMS
+	}
+	move := fromMillis(float64(tokens) / rate)
+	if from.DataCentre != to.DataCentre {
+		move *= 2
+	}
+	took = d.fleet.settings.TransferSetup + move
+	return took, took + time.Duration(d.fleet.settings.TransferWeight*float64(move))
+}
+
+// minFetch is the shortest prefix that is worth a transfer. Unit: tokens.
+const minFetch = 1500
+
+// fetched offers to copy the shared parts from the engine that keeps most of them.
+func (d *decision) fetched(s, from *server, tokens int) {
+	own := s.parts.prefix(d.request.Parts)
+	if tokens-own < minFetch {
+		return
+	}
+	wait := d.wait(s)
+	took, cost := d.transfer(tokens-own, from, s)
+	uncached := max(0, d.request.PromptTokens-tokens)
+	work := fromMillis(float64(uncached) / d.service.rates[StageDecode])
+	predicted := wait + d.slotWait(s) + took + work + d.service.first + d.distance(s)
+	from2 := from.Backend
+	d.offer(Plan{Run: s.Backend, Fetch: &from2, Predicted: predicted, Waiting: wait, Uncached: uncached, work: work},
+		predicted-took+cost+d.weigh(work)+d.penalty(s)+d.crowd(s))
+}
+
+// split offers to read the prompt at a prefill engine and to run it elsewhere.
+func (d *decision) split() {
+	home := homeEngine(d.request.Parts, d.prefillers)
+	var reader *server
+	var readerCost, readerTime, readerWork time.Duration
+	uncached := 0
+	for _, s := range d.prefillers {
+		missing := d.request.PromptTokens - d.cached(s, home)
+		work := fromMillis(float64(missing) / d.service.rates[StagePrefill])
+		took := d.wait(s) + work + d.distance(s)
+		cost := took + d.weigh(work) + d.penalty(s)
+		if reader == nil || cost < readerCost {
+			reader, readerCost, readerTime, readerWork, uncached = s, cost, took, work, missing
+		}
+	}
+	if reader == nil {
+		return
+	}
+	for _, s := range d.decoders {
+		took, cost := d.transfer(d.request.PromptTokens-s.parts.prefix(d.request.Parts), reader, s)
+		predicted := readerTime + took + d.slotWait(s) + d.service.first + d.distance(s) + d.fleet.settings.HopPenalty
+		total := readerCost + cost + d.slotWait(s) + d.service.first + d.distance(s) + d.fleet.settings.HopPenalty +
+			d.penalty(s) + d.crowd(s)
+		r := reader.Backend
+		d.offer(Plan{Run: s.Backend, Prefill: &r, Predicted: predicted, Waiting: d.wait(reader), Uncached: uncached, work: readerWork}, total)
+	}
+}
--- /dev/null
+++ b/pkg/placement/report.go
@@ -0,0 +1,74 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/redwingpath/redwingpath/pkg/model"
+)
+
+// Send is work that a host has sent to an engine. Fields are exported for net/rpc.
+type Send struct {
+	Backend model.BackendID
+	// WorkMS is the expected time of reading. Unit: milliseconds.
+	WorkMS float64
+	// Parts are the shared parts of the prompt.
+	Parts []Part
+}
+
+// Report is what a host tells its peers.
+type Report struct {
+	Sends []Send
+	// Running counts the host's requests by server.
+	Running map[model.BackendID]int
+}
+
+// sendsMost bounds the sends that wait for a report.
+const sendsMost = 512
+
+func (f *Fleet) note(s Send) {
+	if len(f.sends) < sendsMost {
+		f.sends = append(f.sends, s)
+	}
+}
+
+// Report returns what happened since the last report.
+func (f *Fleet) Report() Report {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := Report{Sends: f.sends, Running: map[model.BackendID]int{}}
+	f.sends = nil
+	for id, s := range f.servers {
+		if s.running > 0 {
+			r.Running[id] = s.running
+		}
+	}
+	return r
+}
+
+// Hear takes a peer's report.
+func (f *Fleet) Hear(peer string, r Report, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, send := range r.Sends {
+		if s := f.servers[send.Backend]; s != nil {
+			s.occupy(fromMillis(send.WorkMS), now)
+			s.parts.add(send.Parts)
+		}
+	}
+	for id, s := range f.servers {
+		if n := r.Running[id]; n > 0 {
+			s.peers[peer] = n
+		} else {
+			delete(s.peers, peer)
+		}
+	}
+}
+
+// Forget drops a peer that has gone silent.
+func (f *Fleet) Forget(peer string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		delete(s.peers, peer)
+	}
+}
--- /dev/null
+++ b/pkg/upstream/pool.go
@@ -0,0 +1,202 @@
+// Package upstream keeps connections to backend servers and sends one request
+// at a time over each. It uses the codec of net/http but not its transport: the
+// transport resends requests by itself and does not tell whether a connection
+// took any byte, and both decide what may be said about a failed request.
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+)
+
+// Settings are the limits of connections to backend servers.
+type Settings struct {
+	// DialTimeout bounds the opening of a connection. Unit: duration. Default: 800ms,
+	// below the shortest deadline of a plain service call.
+	DialTimeout time.Duration
+	// UserTimeout is TCP_USER_TIMEOUT, after which unacknowledged data closes a
+	// connection. Unit: duration. Default: 3s.
+	UserTimeout time.Duration
+	// IdleTimeout discards a connection that was idle for longer, where the
+	// backend server announces no limit. Unit: duration. Default: 4s.
+	IdleTimeout time.Duration
+	// IdleShare is the part of an announced limit after which a connection is
+	// discarded. Unit: share. Default: 0.7.
+	IdleShare float64
+	// MaxIdle bounds the pooled connections of one address. Unit: connections.
+	// Default: 32.
+	MaxIdle int
+}
+
+// DefaultSettings returns the defaults.
+func DefaultSettings() Settings {
+	return Settings{
+		DialTimeout: 800 * time.Millisecond,
+		UserTimeout: 3 * time.Second,
+		IdleTimeout: 4 * time.Second,
+		IdleShare:   0.7,
+		MaxIdle:     32,
+	}
+}
+
+// Pool keeps idle connections by address. It is safe for concurrent use.
+type Pool struct {
+	settings Settings
+	dialer   net.Dialer
+
+	mu   sync.Mutex
+	idle map[string][]*Conn
+	// condemned is the time before which connections to an address are not reused.
+	condemned map[string]time.Time
+	opened    uint64
+}
+
+// NewPool returns a pool without connections.
+func NewPool(s Settings) *Pool {
+	p := &Pool{settings: s, idle: map[string][]*Conn{}, condemned: map[string]time.Time{}}
+	p.dialer = net.Dialer{
+		Timeout:   s.DialTimeout,
+		KeepAlive: -1,
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var failed error
+			err := raw.Control(func(fd uintptr) {
+				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(s.UserTimeout.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return failed
+		},
+	}
+	return p
+}
+
+// Opened counts the connections opened so far.
+func (p *Pool) Opened() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
+// Get returns an idle connection or opens one. fresh forces a new connection.
+func (p *Pool) Get(ctx context.Context, address string, fresh bool) (*Conn, error) {
+	now := time.Now()
+	for !fresh {
+		c := p.pop(address, now)
+		if c == nil {
+			break
+		}
+		if c.quiet() {
+			c.reused = true
+			return c, nil
+		}
+		c.Close()
+	}
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, eris.Wrap(err, "connect to backend server")
+	}
+	p.mu.Lock()
+	p.opened++
+	p.mu.Unlock()
+	return newConn(p, address, raw), nil
+}
+
+// pop takes the most recently used connection that is still worth using.
+func (p *Pool) pop(address string, now time.Time) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	for len(list) > 0 {
+		c := list[len(list)-1]
+		list[len(list)-1] = nil
+		list = list[:len(list)-1]
+		p.idle[address] = list
+		if now.Before(c.idleUntil) && c.opened.After(p.condemned[address]) {
+			return c
+		}
+		c.Close()
+	}
+	delete(p.idle, address)
+	return nil
+}
+
+func (p *Pool) put(c *Conn) {
+	now := time.Now()
+	limit := p.settings.IdleTimeout
+	if c.announced > 0 {
+		limit = min(limit, time.Duration(p.settings.IdleShare*float64(c.announced)))
+	}
+	c.idleUntil = now.Add(limit)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[c.address]
+	if len(list) >= p.settings.MaxIdle || !c.opened.After(p.condemned[c.address]) {
+		c.Close()
+		return
+	}
+	p.idle[c.address] = append(list, c)
+}
+
+// Condemn discards the connections to an address that were opened before now:
+// after one of them went silent, the others may have as well.
+func (p *Pool) Condemn(address string) int {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.condemned[address] = time.Now()
+	p.mu.Unlock()
+	for _, c := range list {
+		c.Close()
+	}
+	return len(list)
+}
+
+// Sweep closes connections that were idle for too long and forgets addresses
+// that are no longer used.
+func (p *Pool) Sweep(now time.Time) {
+	var old []*Conn
+	p.mu.Lock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.idleUntil) {
+				kept = append(kept, c)
+			} else {
+				old = append(old, c)
+			}
+		}
+		p.idle[address] = kept
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+	for address, at := range p.condemned {
+		if now.Sub(at) > time.Minute {
+			delete(p.condemned, address)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		c.Close()
+	}
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = map[string][]*Conn{}
+	p.mu.Unlock()
+	for _, list := range idle {
+		for _, c := range list {
+			c.Close()
+		}
+	}
+}
