--- a/pkg/duty/duty.go
+++ b/pkg/duty/duty.go
@@ -54,7 +54,7 @@
 	Host        string                         `json:"host"`
 	Incarnation string                         `json:"incarnation"`
 	Window      int64                          `json:"window,omitempty"`
-	Counts      map[model.OrganisationID]int64 `json:"counts,omitempty"`
+	Counts      map[model.OrganisationID]int64 `json:"counts"`
 }
 
 // Timing of claims. A holder that died is replaced within 5 s, half of the time
--- a/pkg/edgehost/host.go
+++ b/pkg/edgehost/host.go
@@ -59,6 +59,8 @@
 	suspects suspectBook
 	// stopping is set once a graceful stop has begun.
 	stopping atomic.Bool
+	// saidReady is the last answer to the load balancer.
+	saidReady atomic.Bool
 	// configMu keeps configurations from being applied out of order.
 	configMu sync.Mutex
 	reported map[int64]bool
@@ -282,7 +284,7 @@
 	}
 	callers := h.gateway.NewServer()
 	go func() { _ = callers.Serve(listener) }()
-	if err := h.serveReadiness(); err != nil {
+	if err := h.listenInternal(); err != nil {
 		return err
 	}
 	// The parts below go on until callers are served to the end.
@@ -334,18 +336,13 @@
 	return !h.stopping.Load() && h.catalog.Load() != nil && h.registry.count() > 0
 }
 
-func (h *Host) serveReadiness() error {
+// listenInternal opens the listeners for readiness and metrics.
+func (h *Host) listenInternal() error {
 	listener, err := net.Listen("tcp", h.settings.Readiness)
 	if err != nil {
 		return eris.Wrap(err, "listen for readiness")
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
-		if !h.ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	go func() { _ = http.Serve(listener, mux) }()
+	go h.serveReadiness(listener)
 	if h.settings.Metrics == "" {
 		return nil
 	}
