Read prompts at cheap engines and fetch shared parts from where they are kept

Most engines now read, cheap servers first; ordinary ones decode; a prefill engine fetches the shared parts that another keeps.

--- a/pkg/edgehost/duties.go
+++ b/pkg/edgehost/duties.go
@@ -67,11 +67,16 @@
 	h.metrics.holder.Set(boolNumber(mine))
 	if !mine {
 		clear(h.reported)
+		h.orders = newOrders()
 		return
 	}
 	if h.settings.UsageDuty {
 		h.reportUsage(ctx, fence)
 	}
+	h.planFleet(ctx, fence, now)
+	list := h.switchingNow()
+	h.switching.Store(&list)
+	h.fleet.SetSwitching(list)
 }
 
 func boolNumber(b bool) float64 {
--- /dev/null
+++ b/pkg/edgehost/fleet.go
@@ -0,0 +1,179 @@
+package edgehost
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/redwingpath/redwingpath/pkg/catalog"
+	"github.com/redwingpath/redwingpath/pkg/fleetplan"
+	"github.com/redwingpath/redwingpath/pkg/model"
+	"github.com/redwingpath/redwingpath/pkg/placement"
+)
+
+// Timing of orders.
+const (
+	// planInterval is the pause between plans.
+	planInterval = 600 * time.Millisecond
+	// scaleRepeat is the pause before an order for backend servers that had no
+	// effect is given again: servers take some seconds to start.
+	scaleRepeat = 6 * time.Second
+	// scaleRefused is the pause after a data centre had none to give.
+	scaleRefused = 2 * time.Second
+	// switchMargin is how long beyond its switch time an engine may take until
+	// its registration shows the new stage.
+	switchMargin = 2500 * time.Millisecond
+)
+
+// orders is what the holder of the duties remembers of its orders.
+type orders struct {
+	planned time.Time
+	scaled  map[scaleKey]scaleMemory
+	// switching are the engines under an order, by the time until which it counts.
+	switching map[model.BackendID]switching
+}
+
+type scaleKey struct {
+	service    model.PoolName
+	dataCentre model.DataCentreID
+	spot       bool
+}
+
+type scaleMemory struct {
+	desired int
+	next    time.Time
+}
+
+type switching struct {
+	stage placement.Stage
+	until time.Time
+}
+
+func newOrders() *orders {
+	return &orders{scaled: map[scaleKey]scaleMemory{}, switching: map[model.BackendID]switching{}}
+}
+
+// planFleet orders backend servers and changes of stage as the holder.
+func (h *Host) planFleet(ctx context.Context, fence uint64, now time.Time) {
+	c := h.catalog.Load()
+	if c == nil || now.Sub(h.orders.planned) < planInterval {
+		return
+	}
+	h.orders.planned = now
+	for i := range c.Services {
+		service := &c.Services[i]
+		if service.Engine == nil {
+			continue
+		}
+		engines := h.engines(service.Name, now)
+		if h.settings.ScaleDuty && service.Scaling != nil {
+			h.scale(ctx, service, engines, fence, now)
+		}
+		for _, change := range h.policy.Stages(engines) {
+			h.orderStage(ctx, service, change, fence, now)
+		}
+	}
+}
+
+// engines lists the engines of a service for the planner.
+func (h *Host) engines(service model.PoolName, now time.Time) []fleetplan.Engine {
+	var list []fleetplan.Engine
+	for _, b := range h.fleet.List() {
+		if b.Service != service {
+			continue
+		}
+		e := fleetplan.Engine{
+			ID: b.ID, DataCentre: b.DataCentre, Stage: b.Stage, Spot: b.Spot, Leaving: b.Leaving, Load: h.fleet.Load(b.ID),
+		}
+		if s, ok := h.orders.switching[b.ID]; ok {
+			if s.stage == b.Stage || now.After(s.until) {
+				delete(h.orders.switching, b.ID)
+			} else {
+				e.Stage, e.Switching = s.stage, true
+			}
+		}
+		list = append(list, e)
+	}
+	return list
+}
+
+func (h *Host) scale(ctx context.Context, service *catalog.Service, engines []fleetplan.Engine, fence uint64, now time.Time) {
+	for _, t := range h.policy.Scale(service.Scaling, engines) {
+		key := scaleKey{service.Name, t.DataCentre, t.Spot}
+		have := 0
+		for _, e := range engines {
+			if e.DataCentre == t.DataCentre && e.Spot == t.Spot && !e.Leaving {
+				have++
+			}
+		}
+		memory, known := h.orders.scaled[key]
+		if known && memory.desired == t.Desired && (have == t.Desired || now.Before(memory.next)) {
+			continue
+		}
+		if !known && have == t.Desired {
+			continue
+		}
+		if known && memory.desired != t.Desired && now.Before(memory.next.Add(scaleRefused-scaleRepeat)) {
+			continue
+		}
+		h.orderServers(ctx, key, t.Desired, have, fence, now)
+	}
+}
+
+func (h *Host) orderServers(ctx context.Context, key scaleKey, desired, have int, fence uint64, now time.Time) {
+	err := h.platform.Scale(ctx, h.self.Host, fence, ScaleOrder{
+		Service: key.service, DataCentre: key.dataCentre, Desired: desired, Spot: key.spot,
+	})
+	fields := []zap.Field{
+		zap.String("service", string(key.service)), zap.String("data_centre", string(key.dataCentre)),
+		zap.Bool("spot", key.spot), zap.Int("desired", desired), zap.Int("have", have), zap.Uint64("fence", fence),
+	}
+	memory := scaleMemory{desired: desired, next: now.Add(scaleRepeat)}
+	switch {
+	case err == nil:
+		h.log.Info("backend servers ordered", fields...)
+	case errors.Is(err, ErrConflict):
+		memory.next = now.Add(scaleRefused)
+		h.log.Info("backend servers are not to be had, or another holder acts", append(fields, zap.Error(err))...)
+	default:
+		memory.next = now.Add(scaleRefused)
+		h.log.Warn("an order for backend servers got no answer", append(fields, zap.Error(err))...)
+	}
+	h.orders.scaled[key] = memory
+}
+
+// orderStage orders an engine to change its stage. The order names the engine's
+// life and the number of orders it has accepted, so that a late one has no effect.
+func (h *Host) orderStage(ctx context.Context, service *catalog.Service, change fleetplan.Change, fence uint64, now time.Time) {
+	r, ok := h.registry.registration(change.ID)
+	if !ok {
+		return
+	}
+	h.orders.switching[change.ID] = switching{stage: change.Stage, until: now.Add(service.Engine.SwitchTime + switchMargin)}
+	accepted, err := h.platform.AcceptedOrders(ctx, change.ID, r.Address)
+	if err == nil {
+		err = h.platform.ChangeStage(ctx, h.self.Host, fence, StageOrder{
+			Backend: change.ID, Address: r.Address, Stage: change.Stage, Orders: accepted,
+		})
+	}
+	fields := []zap.Field{
+		zap.String("backend", string(change.ID)), zap.Stringer("stage", change.Stage), zap.Uint64("fence", fence),
+		zap.Uint64("orders", accepted),
+	}
+	if err != nil {
+		h.log.Warn("an order to change the stage was not accepted", append(fields, zap.Error(err))...)
+		return
+	}
+	h.log.Info("stage ordered", fields...)
+}
+
+// switchingNow lists the engines that are changing their stage.
+func (h *Host) switchingNow() []model.BackendID {
+	var list []model.BackendID
+	for id := range h.orders.switching {
+		list = append(list, id)
+	}
+	return list
+}
--- a/pkg/edgehost/host.go
+++ b/pkg/edgehost/host.go
@@ -19,6 +19,7 @@
 
 	"github.com/redwingpath/redwingpath/pkg/catalog"
 	"github.com/redwingpath/redwingpath/pkg/duty"
+	"github.com/redwingpath/redwingpath/pkg/fleetplan"
 	"github.com/redwingpath/redwingpath/pkg/gateway"
 	"github.com/redwingpath/redwingpath/pkg/mesh"
 	"github.com/redwingpath/redwingpath/pkg/mirror"
@@ -61,10 +62,13 @@
 	stopping atomic.Bool
 	// saidReady is the last answer to the load balancer.
 	saidReady atomic.Bool
+	// switching are the engines that this host has ordered to change their stage.
+	switching atomic.Pointer[[]model.BackendID]
 	// configMu keeps configurations from being applied out of order.
 	configMu sync.Mutex
 	reported map[int64]bool
-	lastPut  time.Time
+	orders   *orders
+	policy   fleetplan.Policy
 }
 
 // New assembles a host.
@@ -79,7 +83,10 @@
 		quota:    quota.NewBook(),
 		gatherer: prometheus.NewRegistry(),
 		reported: map[int64]bool{},
+		orders:   newOrders(),
+		policy:   fleetplan.DefaultPolicy(),
 	}
+	h.switching.Store(&[]model.BackendID{})
 	h.metrics = newHostMetrics(h.gatherer)
 	h.usage = usagewindow.New(s.UsageWindow, h.clock.Now)
 	placing := placement.DefaultSettings()
@@ -217,6 +224,7 @@
 	m.Counts = h.usage.Lines()
 	if fence, mine := h.duties.Mine(); mine {
 		m.Holding = mesh.Holding{Holder: h.self.Host, Fence: fence}
+		m.Switching = *h.switching.Load()
 	}
 	m.Suspects = h.gateway.Suspects()
 }
@@ -229,6 +237,7 @@
 	h.usage.Hear(host, m.From.Incarnation, m.Counts, m.Now)
 	if m.Holding.Holder == host && !m.From.Stopped {
 		h.duties.Hear(host, m.Holding.Fence, now)
+		h.fleet.SetSwitching(m.Switching)
 	}
 	h.gateway.HearSuspects(h.suspects.take(host, m.Suspects))
 	if m.From.Stopped {
--- a/pkg/edgehost/platform.go
+++ b/pkg/edgehost/platform.go
@@ -33,8 +33,6 @@
 	placement.Backend
 	// Born is the time of the server's start. Unit: Unix milliseconds.
 	Born int64
-	// Orders is the number of orders that the server has accepted.
-	Orders uint64
 	// Leaves is the time until a reclaimed server is gone, 0 if unknown.
 	Leaves time.Duration
 }
@@ -48,6 +46,16 @@
 	Spot bool
 }
 
+// StageOrder changes the stage of an engine.
+type StageOrder struct {
+	Backend model.BackendID
+	Address string
+	Stage   placement.Stage
+	// Orders is the number of orders that the engine has accepted; the order has
+	// no effect if it has accepted another one meanwhile.
+	Orders uint64
+}
+
 // Platform is what the host needs of the platform.
 type Platform interface {
 	mirror.Store
@@ -62,6 +70,10 @@
 	// ReportUsage reports a usage window. It fails with ErrConflict if another
 	// host has acted with a higher fencing token.
 	ReportUsage(ctx context.Context, holder string, fence uint64, window int64, counts map[model.OrganisationID]int64) error
-	// Scale orders backend servers.
+	// AcceptedOrders asks an engine how many orders it has accepted.
+	AcceptedOrders(ctx context.Context, backend model.BackendID, address string) (uint64, error)
+	// ChangeStage orders an engine to change its stage.
+	ChangeStage(ctx context.Context, holder string, fence uint64, o StageOrder) error
+	// Scale orders backend servers. It fails with ErrConflict if none are to be had.
 	Scale(ctx context.Context, holder string, fence uint64, o ScaleOrder) error
 }
--- /dev/null
+++ b/pkg/fleetplan/fleetplan.go
@@ -0,0 +1,175 @@
+// Package fleetplan decides how many backend servers of a service there should be
+// in each data centre, of which price, and in which stage the engines work. It is
+// pure.
+//
+// It answers a load whose balance between prompts and output swings within
+// seconds, faster than engines change their stage: reading at a decode engine
+// costs about three times the engine time of reading at a prefill engine, while
+// decoding needs few engines. So most engines read. Those that decode are
+// ordinary servers, since the loss of a running answer costs more than the loss
+// of a cache; those that read are cheap ones that may be reclaimed.
+package fleetplan
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/redwingpath/redwingpath/pkg/catalog"
+	"github.com/redwingpath/redwingpath/pkg/model"
+	"github.com/redwingpath/redwingpath/pkg/placement"
+)
+
+// Policy are the targets of a plan.
+type Policy struct {
+	// PerDataCentre is the number of engines in each data centre.
+	PerDataCentre int
+	// Ordinary is the number of those that are ordinary servers.
+	Ordinary int
+	// DecodeShare is the part of the engines that decode, DecodeLeast the least
+	// number.
+	DecodeShare float64
+	DecodeLeast int
+	// Changes bounds the engines that change their stage at the same time, as a
+	// share of all.
+	Changes float64
+}
+
+// DefaultPolicy returns the defaults.
+func DefaultPolicy() Policy {
+	return Policy{PerDataCentre: 9, Ordinary: 2, DecodeShare: 0.3, DecodeLeast: 2, Changes: 0.34}
+}
+
+// Engine is one engine as the planner sees it.
+type Engine struct {
+	ID         model.BackendID
+	DataCentre model.DataCentreID
+	Stage      placement.Stage
+	Spot       bool
+	Leaving    bool
+	// Switching engines are about to change to Stage.
+	Switching bool
+	// Load counts the running requests.
+	Load int
+}
+
+// Target is the number of servers of one price in a data centre.
+type Target struct {
+	DataCentre model.DataCentreID
+	Spot       bool
+	Desired    int
+}
+
+// count counts the engines of a data centre and price.
+func count(engines []Engine, dc model.DataCentreID, spot bool) int {
+	n := 0
+	for _, e := range engines {
+		if e.DataCentre == dc && e.Spot == spot && !e.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// Scale plans the numbers of servers. Ordinary servers are given back only once
+// cheap ones have taken their place.
+func (p Policy) Scale(s *catalog.Scaling, engines []Engine) []Target {
+	var targets []Target
+	centres := make([]model.DataCentreID, 0, len(s.Prices))
+	for dc := range s.Prices {
+		centres = append(centres, dc)
+	}
+	slices.Sort(centres)
+	total := min(max(p.PerDataCentre, s.Min), s.Max)
+	for _, dc := range centres {
+		ordinary := min(p.Ordinary, total)
+		spot := total - ordinary
+		if s.SpotPrice <= 0 {
+			ordinary, spot = total, 0
+		}
+		ready := count(engines, dc, true)
+		// What is missing of the cheap servers is kept as ordinary ones, but no
+		// more of those are ordered for it.
+		kept := min(count(engines, dc, false), total-ready)
+		ordinary = max(ordinary, kept)
+		targets = append(targets,
+			Target{DataCentre: dc, Spot: true, Desired: min(spot, s.Max-ordinary)},
+			Target{DataCentre: dc, Spot: false, Desired: ordinary})
+	}
+	return targets
+}
+
+// Change is an order to an engine to change its stage.
+type Change struct {
+	ID    model.BackendID
+	Stage placement.Stage
+}
+
+// Stages plans changes of stage.
+func (p Policy) Stages(engines []Engine) []Change {
+	var usable []Engine
+	switching, decoders := 0, 0
+	for _, e := range engines {
+		if e.Leaving || e.Stage == placement.StageNone {
+			continue
+		}
+		usable = append(usable, e)
+		if e.Switching {
+			switching++
+		}
+		if e.Stage == placement.StageDecode {
+			decoders++
+		}
+	}
+	n := len(usable)
+	if n < 2 {
+		return nil
+	}
+	want := max(int(math.Round(p.DecodeShare*float64(n))), min(p.DecodeLeast, n-1))
+	room := max(1, int(p.Changes*float64(n))) - switching
+	from, to, missing := placement.StageDecode, placement.StagePrefill, decoders-want
+	if decoders < want {
+		from, to, missing = placement.StagePrefill, placement.StageDecode, want-decoders
+	}
+	var changes []Change
+	for _, e := range order(usable, from) {
+		if missing <= 0 || room <= 0 {
+			break
+		}
+		changes = append(changes, Change{ID: e.ID, Stage: to})
+		missing--
+		room--
+	}
+	return changes
+}
+
+// order lists the engines of a stage by how well they suit the other one: cheap
+// servers read, ordinary ones decode, the least loaded first.
+func order(engines []Engine, stage placement.Stage) []Engine {
+	byCentre := map[model.DataCentreID]int{}
+	var list []Engine
+	for _, e := range engines {
+		if e.Stage != stage {
+			continue
+		}
+		byCentre[e.DataCentre]++
+		if !e.Switching {
+			list = append(list, e)
+		}
+	}
+	spotFirst := stage == placement.StageDecode
+	slices.SortFunc(list, func(a, b Engine) int {
+		if a.Spot != b.Spot {
+			if a.Spot == spotFirst {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(
+			cmp.Compare(byCentre[b.DataCentre], byCentre[a.DataCentre]),
+			cmp.Compare(a.Load, b.Load),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	return list
+}
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -16,10 +16,10 @@
 	// the caller in time. Unit: duration. Default: 15ms.
 	TimeoutMargin time.Duration
 	// SilenceLeast is the least time without an answer after which a repeatable
-	// request is sent elsewhere. Unit: duration. Default: 700ms.
+	// request is sent elsewhere. Unit: duration. Default: 1.5s.
 	SilenceLeast time.Duration
 	// SilenceFactor is the multiple of the predicted time after which a repeatable
-	// request is sent elsewhere. Default: 3.
+	// request is sent elsewhere. Default: 4.
 	SilenceFactor float64
 	// GapLimit is the pause between events after which a resumable stream goes on
 	// elsewhere. Unit: duration. Default: 900ms, below the shortest pause at which
@@ -52,8 +52,8 @@
 		RetryWindow:     10 * time.Second,
 		CrashLimit:      3,
 		TimeoutMargin:   15 * time.Millisecond,
-		SilenceLeast:    700 * time.Millisecond,
-		SilenceFactor:   3,
+		SilenceLeast:    1500 * time.Millisecond,
+		SilenceFactor:   4,
 		GapLimit:        900 * time.Millisecond,
 		LateShare:       0.8,
 		RetryAfterLeast: 100 * time.Millisecond,
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -63,7 +63,7 @@
 	defer cancel(nil)
 	ticket := c.g.deps.Fleet.Send(*plan, &c.place, time.Now())
 	outgoing := Outgoing{ResumeAfter: c.after}
-	if plan.Fetch != nil {
+	if plan.Fetch != nil && plan.Prefill == nil {
 		outgoing.FetchFrom = plan.Fetch.Address
 	}
 	if plan.Prefill != nil {
@@ -257,7 +257,7 @@
 func (c *call) prefill(ctx context.Context, plan *placement.Plan, ticket *placement.Ticket) (string, error) {
 	b := plan.Prefill
 	started := time.Now()
-	handle, err := c.prefillCall(ctx, b)
+	handle, err := c.prefillCall(ctx, plan)
 	now := time.Now()
 	if err != nil {
 		c.log.Info("prefill failed", zap.String("backend", string(b.ID)), zap.Duration("took", now.Sub(started)), zap.Error(err))
@@ -272,8 +272,13 @@
 // errPrefill means that the prompt was not read; the request was not sent.
 var errPrefill = errors.New("the prompt could not be read at the prefill engine")
 
-func (c *call) prefillCall(ctx context.Context, b *placement.Backend) (string, error) {
-	req, err := c.outgoing(b, Outgoing{PrefillOnly: true})
+func (c *call) prefillCall(ctx context.Context, plan *placement.Plan) (string, error) {
+	b := plan.Prefill
+	o := Outgoing{PrefillOnly: true}
+	if plan.Fetch != nil {
+		o.FetchFrom = plan.Fetch.Address
+	}
+	req, err := c.outgoing(b, o)
 	if err != nil {
 		return "", err
 	}
--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -42,6 +42,9 @@
 	// Counts are the sender's counts of recent usage windows.
 	Counts  []usagewindow.Line
 	Holding Holding
+	// Switching are the engines that the sender, as the holder, has ordered to
+	// change their stage.
+	Switching []model.BackendID
 	// Suspects are digests of requests that crashed backend servers, with the
 	// number of crashes.
 	Suspects map[string]int
--- a/pkg/placement/fleet.go
+++ b/pkg/placement/fleet.go
@@ -42,6 +42,8 @@
 	// suspectUntil keeps a server that went silent out of use.
 	suspectUntil time.Time
 	strikes      int
+	// switching engines are about to change their stage and take no requests.
+	switching bool
 }
 
 // NewFleet returns an empty fleet.
@@ -338,3 +340,22 @@
 // Started tells whether the first event has come. The sender of the request owns
 // the ticket.
 func (t *Ticket) Started() bool { return t.first }
+
+// SetSwitching names the engines that are changing their stage.
+func (f *Fleet) SetSwitching(ids []model.BackendID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, s := range f.servers {
+		s.switching = slices.Contains(ids, id)
+	}
+}
+
+// Load counts the requests of all hosts on a server.
+func (f *Fleet) Load(id model.BackendID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.servers[id]; s != nil {
+		return s.load()
+	}
+	return 0
+}
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -30,7 +30,7 @@
 func (f *Fleet) place(k *service, r *Request, strict bool, now time.Time) (Plan, bool) {
 	decide := decision{fleet: f, service: k, request: r, now: now}
 	for _, s := range k.servers {
-		if s.Leaving || slices.Contains(r.Exclude, s.ID) || strict && now.Before(s.suspectUntil) {
+		if s.Leaving || s.switching || slices.Contains(r.Exclude, s.ID) || strict && now.Before(s.suspectUntil) {
 			continue
 		}
 		switch s.Stage {
@@ -162,7 +162,7 @@
 	if d.request.NoPrefill {
 		return
 	}
-	d.split()
+	d.split(richest, most)
 }
 
 // direct offers to read the prompt at a decode engine.
@@ -216,35 +216,60 @@
 	uncached := max(0, d.request.PromptTokens-tokens)
 	work := fromMillis(float64(uncached) / d.service.rates[StageDecode])
 	predicted := wait + d.slotWait(s) + took + work + d.service.first + d.distance(s)
-	from2 := from.Backend
-	d.offer(Plan{Run: s.Backend, Fetch: &from2, Predicted: predicted, Waiting: wait, Uncached: uncached, work: work},
+	d.offer(Plan{Run: s.Backend, Fetch: &from.Backend, Predicted: predicted, Waiting: wait, Uncached: uncached, work: work},
 		predicted-took+cost+d.weigh(work)+d.penalty(s)+d.crowd(s))
 }
 
+// reading is a way to have the prompt read at a prefill engine.
+type reading struct {
+	reader   *server
+	fetch    *server
+	uncached int
+	work     time.Duration
+	// took is the time until the prompt is read, cost what counts for the choice.
+	took, cost time.Duration
+}
+
 // split offers to read the prompt at a prefill engine and to run it elsewhere.
-func (d *decision) split() {
-	home := homeEngine(d.request.Parts, d.prefillers)
-	var reader *server
-	var readerCost, readerTime, readerWork time.Duration
-	uncached := 0
-	for _, s := range d.prefillers {
-		missing := d.request.PromptTokens - d.cached(s, home)
-		work := fromMillis(float64(missing) / d.service.rates[StagePrefill])
-		took := d.wait(s) + work + d.distance(s)
-		cost := took + d.weigh(work) + d.penalty(s)
-		if reader == nil || cost < readerCost {
-			reader, readerCost, readerTime, readerWork, uncached = s, cost, took, work, missing
-		}
-	}
-	if reader == nil {
+func (d *decision) split(richest *server, most int) {
+	best, ok := d.reading(richest, most)
+	if !ok {
 		return
 	}
 	for _, s := range d.decoders {
-		took, cost := d.transfer(d.request.PromptTokens-s.parts.prefix(d.request.Parts), reader, s)
-		predicted := readerTime + took + d.slotWait(s) + d.service.first + d.distance(s) + d.fleet.settings.HopPenalty
-		total := readerCost + cost + d.slotWait(s) + d.service.first + d.distance(s) + d.fleet.settings.HopPenalty +
-			d.penalty(s) + d.crowd(s)
-		r := reader.Backend
-		d.offer(Plan{Run: s.Backend, Prefill: &r, Predicted: predicted, Waiting: d.wait(reader), Uncached: uncached, work: readerWork}, total)
+		move, moveCost := d.transfer(d.request.PromptTokens-s.parts.prefix(d.request.Parts), best.reader, s)
+		after := d.slotWait(s) + d.service.first + d.distance(s) + d.fleet.settings.HopPenalty
+		p := Plan{
+			Run: s.Backend, Prefill: &best.reader.Backend, Predicted: best.took + move + after,
+			Waiting: d.wait(best.reader), Uncached: best.uncached, work: best.work,
+		}
+		if best.fetch != nil {
+			p.Fetch = &best.fetch.Backend
+		}
+		d.offer(p, best.cost+moveCost+after+d.penalty(s)+d.crowd(s))
+	}
+}
+
+// reading finds the cheapest way to have the prompt read.
+func (d *decision) reading(richest *server, most int) (best reading, found bool) {
+	home := homeEngine(d.request.Parts, d.prefillers)
+	take := func(r reading) {
+		r.work = fromMillis(float64(r.uncached) / d.service.rates[StagePrefill])
+		fixed := d.wait(r.reader) + r.work + d.distance(r.reader)
+		r.took += fixed
+		r.cost += fixed + d.weigh(r.work) + d.penalty(r.reader)
+		if !found || r.cost < best.cost {
+			best, found = r, true
+		}
+	}
+	for _, s := range d.prefillers {
+		cached := d.cached(s, home)
+		take(reading{reader: s, uncached: d.request.PromptTokens - cached})
+		if richest == nil || richest == s || most-cached < minFetch {
+			continue
+		}
+		took, cost := d.transfer(most-cached, richest, s)
+		take(reading{reader: s, fetch: richest, uncached: max(0, d.request.PromptTokens-most), took: took, cost: cost})
 	}
+	return best, found
 }
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -110,13 +110,13 @@
 	// CrossDataCentre is the round trip to another data centre. Unit: duration.
 	CrossDataCentre time.Duration
 	// FirstEvent is the time from the end of reading to the first event. Unit:
-	// duration. Default: 40ms.
+	// duration. Default: 60ms.
 	FirstEvent time.Duration
 	// TransferSetup is the fixed time of a cache transfer. Unit: duration.
 	// Default: 6ms.
 	TransferSetup time.Duration
 	// PrefillRate and DecodeRate are the rates of reading before any was measured.
-	// Unit: tokens per millisecond. Defaults: 120 and 60.
+	// Unit: tokens per millisecond. Defaults: 100 and 35.
 	PrefillRate, DecodeRate float64
 	// WorkWeight is how much a millisecond of engine time counts against one of
 	// waiting: it delays the requests that come after. Default: 0.7.
@@ -137,10 +137,10 @@
 func DefaultSettings() Settings {
 	return Settings{
 		CrossDataCentre: 2 * time.Millisecond,
-		FirstEvent:      40 * time.Millisecond,
+		FirstEvent:      60 * time.Millisecond,
 		TransferSetup:   6 * time.Millisecond,
-		PrefillRate:     120,
-		DecodeRate:      60,
+		PrefillRate:     100,
+		DecodeRate:      35,
 		WorkWeight:      0.7,
 		TransferWeight:  1,
 		HomeShare:       0.5,
