--- a/pkg/edgehost/host.go
+++ b/pkg/edgehost/host.go
@@ -447,13 +447,31 @@
 // sweepInterval is the pause between rounds of clearing up.
 const sweepInterval = 400 * time.Millisecond
 
+// summaryInterval is the pause between log lines on the load of the engines.
+const summaryInterval = 2 * time.Second
+
+// summarise logs what the host believes of the engines' load.
+func (h *Host) summarise(now time.Time) {
+	for _, s := range h.fleet.Summaries(now) {
+		h.log.Info("engine load", zap.String("service", string(s.Service)),
+			zap.Int("prefill_engines", s.Prefillers), zap.Int("decode_engines", s.Decoders),
+			zap.Float64("prefill_tokens_per_ms", s.PrefillRate), zap.Float64("decode_tokens_per_ms", s.DecodeRate),
+			zap.Duration("prefill_wait", s.PrefillWait), zap.Duration("decode_wait", s.DecodeWait),
+			zap.Int("running", s.Running), zap.Int("slots", s.Slots), zap.Int("suspects", s.Suspects))
+	}
+}
+
 func (h *Host) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	summary := time.NewTicker(summaryInterval)
+	defer summary.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case now := <-summary.C:
+			h.summarise(now)
 		case now := <-ticker.C:
 			h.registry.sweep(now)
 			h.pool.Sweep(now)
--- a/pkg/fleetplan/fleetplan.go
+++ b/pkg/fleetplan/fleetplan.go
@@ -87,10 +87,9 @@
 		if s.SpotPrice <= 0 {
 			ordinary, spot = total, 0
 		}
-		ready := count(engines, dc, true)
-		// What is missing of the cheap servers is kept as ordinary ones, but no
-		// more of those are ordered for it.
-		kept := min(count(engines, dc, false), total-ready)
+		// Ordinary servers are kept until half of the planned number is there as
+		// cheap ones, but no more of them are ordered for it.
+		kept := min(count(engines, dc, false), total/2-count(engines, dc, true))
 		ordinary = max(ordinary, kept)
 		targets = append(targets,
 			Target{DataCentre: dc, Spot: true, Desired: min(spot, s.Max-ordinary)},
--- a/pkg/placement/fleet.go
+++ b/pkg/placement/fleet.go
@@ -189,11 +189,16 @@
 // a dozen requests on idle engines settle it.
 const (
 	rateWeight = 0.1
+	// slowerWeight is less, since work of other hosts that is not known of yet
+	// makes an engine look slower than it is.
+	slowerWeight = 0.02
+	// readOverhead is the time of a call that is not reading.
+	readOverhead = 15 * time.Millisecond
 	// correctionWeight is the part of a prediction's error by which an engine's
 	// backlog is corrected.
 	correctionWeight = 0.4
 	// rateTokens is the shortest reading that tells a rate.
-	rateTokens = 1500
+	rateTokens = 3000
 	// failureWeight is the weight of the latest request in a server's failures.
 	failureWeight = 0.15
 )
@@ -233,9 +238,13 @@
 		return
 	}
 	if t.idle && t.plan.Uncached >= rateTokens && t.plan.Fetch == nil && took > 0 {
-		sample := float64(t.plan.Uncached) / millis(took)
+		sample := float64(t.plan.Uncached) / millis(max(took-readOverhead, time.Millisecond))
 		sample = min(max(sample, k.rates[stage]/2), k.rates[stage]*2)
-		k.rates[stage] = math.Exp((1-rateWeight)*math.Log(k.rates[stage]) + rateWeight*math.Log(sample))
+		weight := rateWeight
+		if sample < k.rates[stage] {
+			weight = slowerWeight
+		}
+		k.rates[stage] = math.Exp((1-weight)*math.Log(k.rates[stage]) + weight*math.Log(sample))
 	}
 	late := t.sentAt.Add(took).Sub(t.due)
 	s.busyUntil = s.busyUntil.Add(time.Duration(correctionWeight * float64(late)))
@@ -359,3 +368,48 @@
 	}
 	return 0
 }
+
+// Summary describes the engines of a service for logs.
+type Summary struct {
+	Service                  model.PoolName
+	Prefillers, Decoders     int
+	PrefillRate, DecodeRate  float64
+	PrefillWait, DecodeWait  time.Duration
+	Running, Slots, Suspects int
+}
+
+// Summaries describes all services with engines.
+func (f *Fleet) Summaries(now time.Time) []Summary {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []Summary
+	for name, k := range f.services {
+		s := Summary{Service: name, PrefillRate: k.rates[StagePrefill], DecodeRate: k.rates[StageDecode]}
+		for _, e := range k.servers {
+			if now.Before(e.suspectUntil) {
+				s.Suspects++
+			}
+			if e.Leaving || e.switching {
+				continue
+			}
+			wait := max(0, e.busyUntil.Sub(now))
+			switch e.Stage {
+			case StagePrefill:
+				s.Prefillers++
+				s.PrefillWait += wait
+			case StageDecode:
+				s.Decoders++
+				s.DecodeWait += wait
+				s.Running += e.load()
+				s.Slots += e.Slots
+			}
+		}
+		if s.Prefillers+s.Decoders == 0 {
+			continue
+		}
+		s.PrefillWait /= time.Duration(max(1, s.Prefillers))
+		s.DecodeWait /= time.Duration(max(1, s.Decoders))
+		list = append(list, s)
+	}
+	return list
+}
