Count what peers admitted before a host's first request of an organisation

Found by a test that plays a hot organisation at eight hosts: a bucket that was made at the first request did not know of earlier use, and the sums of a peer were kept in a map that the peer's message shared.

--- /dev/null
+++ b/pkg/catalog/catalog_test.go
@@ -0,0 +1,63 @@
+package catalog
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingpath/redwingpath/pkg/model"
+)
+
+func example() *Catalog {
+	return New(Config{
+		Version: 3,
+		Routes: []Route{
+			{Name: "short", Host: "a.example", Prefix: "/v/", Split: []Share{{Service: "s", Weight: 1}}},
+			{Name: "long", Host: "A.example", Prefix: "/v/w/", Split: []Share{{Service: "s", Weight: 90}, {Service: "t", Weight: 10}}},
+			{Name: "other", Host: "b.example", Prefix: "/"},
+		},
+		Services:      []Service{{Name: "s"}, {Name: "t"}},
+		Organisations: []Organisation{{ID: "o", Keys: []string{"k1", "k2"}}},
+	})
+}
+
+func TestRouteHasTheLongestPrefixOfItsHost(t *testing.T) {
+	k := example()
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/v/x", "short"},
+		{"a.example", "/v/w/x", "long"},
+		{"a.example:8080", "/v/w/", "long"},
+		{"A.EXAMPLE", "/v/w", "short"},
+		{"b.example", "/anything", "other"},
+	} {
+		r := k.Route(c.host, c.path)
+		require.NotNil(t, r, c.path)
+		assert.Equal(t, c.want, r.Name, c.host+c.path)
+	}
+	assert.Nil(t, k.Route("a.example", "/v"), "a prefix ends with a slash")
+	assert.Nil(t, k.Route("c.example", "/"))
+}
+
+func TestKeysFindTheirOrganisation(t *testing.T) {
+	k := example()
+	require.NotNil(t, k.Key("k2"))
+	assert.Equal(t, model.OrganisationID("o"), k.Key("k2").ID)
+	assert.Nil(t, k.Key(""))
+	assert.Nil(t, k.Key("k3"))
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	r := example().Route("a.example", "/v/w/")
+	assert.Equal(t, model.PoolName("s"), r.Pick(0))
+	assert.Equal(t, model.PoolName("s"), r.Pick(0.89))
+	assert.Equal(t, model.PoolName("t"), r.Pick(0.91))
+	assert.Equal(t, model.PoolName(""), (&Route{}).Pick(0.5))
+}
+
+func TestOnlyIdempotentAndResumableRequestsAreRepeatable(t *testing.T) {
+	assert.True(t, (&Route{Kind: Idempotent}).Repeatable())
+	assert.True(t, (&Route{Kind: Streaming, Resumable: true}).Repeatable())
+	assert.False(t, (&Route{Kind: Streaming}).Repeatable())
+	assert.False(t, (&Route{Kind: NonIdempotent, Resumable: true}).Repeatable())
+}
--- a/pkg/edgehost/host.go
+++ b/pkg/edgehost/host.go
@@ -80,12 +80,12 @@
 		tables:   map[string]*mirror.Table{},
 		follower: map[string]*mirror.Follower{},
 		pool:     upstream.NewPool(upstream.DefaultSettings()),
-		quota:    quota.NewBook(),
 		gatherer: prometheus.NewRegistry(),
 		reported: map[int64]bool{},
 		orders:   newOrders(),
 		policy:   fleetplan.DefaultPolicy(),
 	}
+	h.quota = quota.NewBook(time.Now(), h.quotaOf)
 	h.switching.Store(&[]model.BackendID{})
 	h.metrics = newHostMetrics(h.gatherer)
 	h.usage = usagewindow.New(s.UsageWindow, h.clock.Now)
@@ -107,7 +107,7 @@
 	serving.RetryWindow = s.RetryWindow
 	h.gateway = gateway.New(serving, gateway.Deps{
 		Catalog: h.catalog.Load, Fleet: h.fleet, Pool: h.pool, Dialect: dialect,
-		Limiter: limiter{h}, Usage: h.usage, Metrics: gateway.NewMetrics(h.gatherer), Log: log,
+		Limiter: h.quota, Usage: h.usage, Metrics: gateway.NewMetrics(h.gatherer), Log: log,
 	})
 	return h, nil
 }
@@ -260,21 +260,13 @@
 // all were met.
 const slackHostsLeast = 8
 
-// limiter applies the quotas of the configuration in force.
-type limiter struct {
-	host *Host
-}
-
-// Admit implements gateway.Limiter.
-func (l limiter) Admit(org model.OrganisationID, cost float64, now time.Time) (bool, time.Duration) {
-	return l.host.quota.Admit(org, l.limits(org), cost, now)
-}
-
-// Return implements gateway.Limiter.
-func (l limiter) Return(org model.OrganisationID, cost float64) { l.host.quota.Return(org, cost) }
-
-func (l limiter) limits(org model.OrganisationID) quota.Limits {
-	o := l.host.catalog.Load().Organisation(org)
+// quotaOf is an organisation's quota in the configuration in force.
+func (h *Host) quotaOf(org model.OrganisationID) quota.Limits {
+	c := h.catalog.Load()
+	if c == nil {
+		return quota.Limits{}
+	}
+	o := c.Organisation(org)
 	if o == nil {
 		return quota.Limits{}
 	}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -24,6 +24,8 @@
 	errSilent  = errors.New("the backend server has not answered in time")
 	errBroken  = errors.New("the backend server broke off its answer")
 	errServer  = errors.New("the backend server answered with a failure")
+	// errLeaving means that the server began to leave before the request was sent.
+	errLeaving = errors.New("the backend server is leaving")
 	// errConnect means that no connection was had, so that nothing was sent.
 	errConnect = errors.New("no connection to the backend server")
 )
@@ -43,6 +45,10 @@
 	if err != nil {
 		return nil, eris.Wrap(errConnect, err.Error())
 	}
+	if !c.g.deps.Fleet.Usable(b.ID) {
+		conn.Unused()
+		return nil, errLeaving
+	}
 	c.attempts++
 	_ = c.outcome.Apply(atmostonce.EventSend)
 	c.log.Debug("request sent", zap.String("backend", string(b.ID)), zap.String("address", b.Address),
@@ -89,6 +95,8 @@
 		return placement.Served
 	case errors.Is(err, errNotRun):
 		return placement.Refused
+	case errors.Is(err, errLeaving):
+		return placement.Abandoned
 	case errors.Is(err, errSilent) || errors.Is(err, errConnect):
 		return placement.Silent
 	case ctx.Err() != nil:
@@ -113,7 +121,7 @@
 	if len(c.place.Exclude) >= sendsMost || c.ranAttempts() >= max(c.route.MaxAttempts, 1) {
 		return c.giveUp(err)
 	}
-	if !errors.Is(err, errConnect) && !c.g.budgets.take(c.service.Name, time.Now()) {
+	if !errors.Is(err, errConnect) && !errors.Is(err, errLeaving) && !c.g.budgets.take(c.service.Name, time.Now()) {
 		return c.giveUp(err)
 	}
 	c.outcome.Retry(true)
@@ -155,7 +163,7 @@
 
 // cause names the cause of a failure for logs and metrics.
 func cause(err error) string {
-	for _, known := range []error{errNotRun, errForeign, errSpoiled, errSilent, errBroken, errServer, errConnect} {
+	for _, known := range []error{errNotRun, errForeign, errSpoiled, errSilent, errBroken, errServer, errConnect, errLeaving} {
 		if errors.Is(err, known) {
 			return known.Error()
 		}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -73,6 +73,14 @@
 			return err
 		}
 		outgoing.CacheAddress, outgoing.CacheHandle = plan.Prefill.Address, handle
+		run, ok := c.g.deps.Fleet.Continue(ticket, &c.place, time.Now())
+		if !ok {
+			c.release(plan.Prefill, handle)
+			c.g.deps.Fleet.Done(ticket, placement.Abandoned, time.Now())
+			return eris.Wrap(errPrefill, "no decode engine is left")
+		}
+		plan.Run = run
+		c.last.Run = run
 	}
 	err := c.relay(attempt, cancel, plan, ticket, outgoing)
 	if err != nil && plan.Prefill != nil {
@@ -98,7 +106,7 @@
 	if err == nil || ctx.Err() != nil {
 		return false
 	}
-	for _, other := range []error{errNotRun, errForeign, errSpoiled, errSilent, errServer, errConnect, errCaller, errPassed} {
+	for _, other := range []error{errNotRun, errForeign, errSpoiled, errSilent, errServer, errConnect, errLeaving, errCaller, errPassed} {
 		if errors.Is(err, other) {
 			return false
 		}
--- /dev/null
+++ b/pkg/mirror/mirror_test.go
@@ -0,0 +1,134 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+var now = time.Unix(1000, 0)
+
+func TestApplyNeverTakesAKeyBack(t *testing.T) {
+	table := NewTable()
+	require.Len(t, table.Apply([]Record{{Key: "a", Value: []byte("2"), Offset: 5}}, 6, now), 1)
+	assert.Empty(t, table.Apply([]Record{{Key: "a", Value: []byte("1"), Offset: 4}}, 5, now))
+	r, ok := table.Get("a")
+	require.True(t, ok)
+	assert.Equal(t, "2", string(r.Value))
+	assert.Equal(t, uint64(6), table.End())
+}
+
+func TestSnapshotRemovesKeysThatItLacks(t *testing.T) {
+	table := NewTable()
+	table.Apply([]Record{{Key: "a", Value: []byte("1"), Offset: 1}, {Key: "b", Value: []byte("1"), Offset: 2}}, 3, now)
+	changed := table.Snapshot([]Record{{Key: "b", Value: []byte("1"), Offset: 2}}, 9, now)
+	require.Len(t, changed, 1)
+	assert.True(t, changed[0].Removed())
+	_, ok := table.Get("a")
+	assert.False(t, ok)
+}
+
+func TestSnapshotThatIsOlderThanTheTableRemovesNothing(t *testing.T) {
+	table := NewTable()
+	table.Apply([]Record{{Key: "a", Value: []byte("1"), Offset: 20}}, 21, now)
+	assert.Empty(t, table.Snapshot(nil, 10, now))
+	_, ok := table.Get("a")
+	assert.True(t, ok)
+	assert.Equal(t, uint64(21), table.End())
+}
+
+func TestSinceCarriesRemovalsToAPeer(t *testing.T) {
+	table, peer := NewTable(), NewTable()
+	table.Snapshot([]Record{{Key: "a", Value: []byte("1"), Offset: 1}}, 2, now)
+	records, end, complete := table.Since(0)
+	require.True(t, complete)
+	peer.Snapshot(records, end, now)
+	table.Apply([]Record{{Key: "a", Offset: 7}}, 8, now)
+	records, end, _ = table.Since(peer.End())
+	changed := peer.Apply(records, end, now)
+	require.Len(t, changed, 1)
+	_, ok := peer.Get("a")
+	assert.False(t, ok)
+	assert.Equal(t, uint64(8), peer.End())
+}
+
+func TestTrimForgetsOldRemovalsOnly(t *testing.T) {
+	table := NewTable()
+	table.Apply([]Record{{Key: "a", Offset: 1}, {Key: "b", Value: []byte("x"), Offset: 2}}, 3, now)
+	table.Trim(now.Add(removedKept / 2))
+	records, _, _ := table.Since(0)
+	assert.Len(t, records, 2)
+	table.Trim(now.Add(2 * removedKept))
+	records, _, _ = table.Since(0)
+	require.Len(t, records, 1)
+	assert.Equal(t, "b", records[0].Key)
+}
+
+// scriptedStore answers by its functions.
+type scriptedStore struct {
+	newest func() ([]Record, uint64, error)
+	read   func(from uint64) ([]Record, uint64, error)
+}
+
+func (s scriptedStore) Newest(context.Context, string) ([]Record, uint64, error) { return s.newest() }
+
+func (s scriptedStore) Read(_ context.Context, _ string, from uint64, _ time.Duration) ([]Record, uint64, error) {
+	return s.read(from)
+}
+
+func TestFollowerReadsAllKeysAgainAfterTheHistoryWasDropped(t *testing.T) {
+	snapshots := 0
+	store := scriptedStore{
+		newest: func() ([]Record, uint64, error) {
+			snapshots++
+			return []Record{{Key: "a", Value: []byte{byte(snapshots)}, Offset: uint64(10 * snapshots)}}, uint64(10*snapshots) + 1, nil
+		},
+		read: func(uint64) ([]Record, uint64, error) { return nil, 0, ErrForgotten },
+	}
+	var seen []Record
+	f := &Follower{Topic: "t", Table: NewTable(), Store: store, Log: zap.NewNop(), Changed: func(r []Record) { seen = append(seen, r...) }}
+	require.NoError(t, f.step(t.Context()))
+	require.NoError(t, f.step(t.Context()))
+	require.Len(t, seen, 2)
+	assert.Equal(t, uint64(20), seen[1].Offset)
+}
+
+func TestFollowerTellsOfTheLossAndReturnOfTheStoreOnce(t *testing.T) {
+	down := true
+	store := scriptedStore{
+		newest: func() ([]Record, uint64, error) {
+			if down {
+				return nil, 0, errors.New("down")
+			}
+			return nil, 1, nil
+		},
+		read: func(from uint64) ([]Record, uint64, error) {
+			if down {
+				return nil, 0, errors.New("down")
+			}
+			return nil, from, nil
+		},
+	}
+	lost, back := 0, 0
+	f := &Follower{
+		Topic: "t", Table: NewTable(), Store: store, Log: zap.NewNop(), Interval: time.Millisecond,
+		Lost: func(error) { lost++; down = false }, Back: func() { back++; down = back == 1 },
+	}
+	f.reachable.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	go func() {
+		for back < 2 && ctx.Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	f.Run(ctx)
+	assert.Equal(t, 2, lost)
+	assert.Equal(t, 2, back)
+}
--- a/pkg/placement/fleet.go
+++ b/pkg/placement/fleet.go
@@ -178,6 +178,16 @@
 	return parts[:len(parts)-1]
 }
 
+// move counts a request at another server.
+func (t *Ticket) move(f *Fleet, to *server) {
+	if old := f.servers[t.plan.Run.ID]; old != nil {
+		old.running--
+	}
+	to.running++
+	to.parts.add(t.prompt)
+	t.plan.Run = to.Backend
+}
+
 func (s *server) occupy(work time.Duration, now time.Time) {
 	if s.busyUntil.Before(now) {
 		s.busyUntil = now
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -30,7 +30,7 @@
 func (f *Fleet) place(k *service, r *Request, strict bool, now time.Time) (Plan, bool) {
 	decide := decision{fleet: f, service: k, request: r, now: now}
 	for _, s := range k.servers {
-		if s.Leaving || s.switching || slices.Contains(r.Exclude, s.ID) || strict && now.Before(s.suspectUntil) {
+		if !s.takes(r) || strict && now.Before(s.suspectUntil) {
 			continue
 		}
 		switch s.Stage {
@@ -278,3 +278,46 @@
 	}
 	return best, found
 }
+
+// Continue chooses the engine that runs a request whose prompt was read by a
+// plan. The engine of the plan may have begun to leave meanwhile.
+func (f *Fleet) Continue(t *Ticket, r *Request, now time.Time) (Backend, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := f.services[r.Service]
+	reader := f.servers[t.plan.Reader().ID]
+	if k == nil || reader == nil {
+		return Backend{}, false
+	}
+	d := decision{fleet: f, service: k, request: r, now: now}
+	var best *server
+	var least time.Duration
+	for _, s := range k.servers {
+		if s.Stage != StageDecode || !s.takes(r) || now.Before(s.suspectUntil) {
+			continue
+		}
+		_, cost := d.transfer(r.PromptTokens-s.parts.prefix(r.Parts), reader, s)
+		cost += d.slotWait(s) + d.distance(s) + d.penalty(s) + d.crowd(s)
+		if best == nil || cost < least {
+			best, least = s, cost
+		}
+	}
+	if best == nil {
+		return Backend{}, false
+	}
+	t.move(f, best)
+	return best.Backend, true
+}
+
+// takes tells whether a server may be sent a request.
+func (s *server) takes(r *Request) bool {
+	return !s.Leaving && !s.switching && !slices.Contains(r.Exclude, s.ID)
+}
+
+// Usable tells whether a server still takes requests.
+func (f *Fleet) Usable(id model.BackendID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.servers[id]
+	return s != nil && !s.Leaving
+}
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -7,6 +7,7 @@
 package quota
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -38,6 +39,10 @@
 // Book keeps the quotas of all organisations as one host sees them. It is safe
 // for concurrent use.
 type Book struct {
+	started time.Time
+	// limits tells the quota of an organisation.
+	limits func(model.OrganisationID) Limits
+
 	mu      sync.Mutex
 	buckets map[model.OrganisationID]*bucket
 	// admitted is what this host admitted since it started.
@@ -57,9 +62,12 @@
 	heard       time.Time
 }
 
-// NewBook returns an empty book.
-func NewBook() *Book {
+// NewBook returns an empty book of a host that starts now. limits tells the quota
+// of an organisation in the configuration in force.
+func NewBook(now time.Time, limits func(model.OrganisationID) Limits) *Book {
 	return &Book{
+		started:  now,
+		limits:   limits,
 		buckets:  map[model.OrganisationID]*bucket{},
 		admitted: map[model.OrganisationID]float64{},
 		peers:    map[string]*peerUse{},
@@ -68,7 +76,8 @@
 
 // Admit takes the cost of a request from an organisation's quota. Where there
 // is no room it returns how long it takes until there is.
-func (b *Book) Admit(org model.OrganisationID, limits Limits, cost float64, now time.Time) (ok bool, wait time.Duration) {
+func (b *Book) Admit(org model.OrganisationID, cost float64, now time.Time) (ok bool, wait time.Duration) {
+	limits := b.limits(org)
 	if limits.Unlimited() {
 		b.mu.Lock()
 		b.admitted[org] += cost
@@ -77,9 +86,8 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	k := b.bucket(org, limits, now)
 	share := b.share(now)
-	k.refill(share, now)
+	k := b.bucket(org, limits, share, now)
 	// A request that is larger than the burst passes when the bucket is full.
 	need := min(cost, limits.Burst*share)
 	if k.level < need {
@@ -101,10 +109,13 @@
 	}
 }
 
-func (b *Book) bucket(org model.OrganisationID, limits Limits, now time.Time) *bucket {
+// bucket returns the refilled bucket of an organisation.
+func (b *Book) bucket(org model.OrganisationID, limits Limits, share float64, now time.Time) *bucket {
 	k := b.buckets[org]
 	if k == nil {
-		k = &bucket{limits: limits, level: limits.Burst * b.startShare(), at: now}
+		// An organisation that has sent nothing since the start of the host may
+		// have used its quota at others before.
+		k = &bucket{limits: limits, level: limits.Burst * b.startShare(), at: b.started}
 		b.buckets[org] = k
 	}
 	if k.limits != limits {
@@ -112,6 +123,7 @@
 		k.limits = limits
 		k.level = min(k.level, limits.Burst)
 	}
+	k.refill(share, now)
 	return k
 }
 
@@ -150,11 +162,7 @@
 func (b *Book) Admitted() map[model.OrganisationID]float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	sums := make(map[model.OrganisationID]float64, len(b.admitted))
-	for org, n := range b.admitted {
-		sums[org] = n
-	}
-	return sums
+	return maps.Clone(b.admitted)
 }
 
 // Hear takes what a peer has admitted since it started. What is new is taken
@@ -169,15 +177,19 @@
 		b.peers[host] = p
 		if first {
 			// Use from before the first word says nothing on the current window.
-			p.admitted = admitted
+			p.admitted = maps.Clone(admitted)
+			if p.admitted == nil {
+				p.admitted = map[model.OrganisationID]float64{}
+			}
 			p.heard = now
 			return
 		}
 	}
 	p.heard = now
+	share := b.share(now)
 	for org, sum := range admitted {
-		if k := b.buckets[org]; k != nil {
-			k.level -= sum - p.admitted[org]
+		if limits := b.limits(org); !limits.Unlimited() {
+			b.bucket(org, limits, share, now).level -= sum - p.admitted[org]
 		}
 		p.admitted[org] = sum
 	}
--- /dev/null
+++ b/pkg/quota/quota_test.go
@@ -0,0 +1,212 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingpath/redwingpath/pkg/model"
+)
+
+const org = model.OrganisationID("o")
+
+var (
+	start  = time.Unix(1000, 0)
+	limits = Limits{Rate: 100000, Burst: 100000}
+)
+
+func newBook(l Limits) *Book {
+	return NewBook(start, func(model.OrganisationID) Limits { return l })
+}
+
+// group is a number of hosts that exchange their sums.
+type group struct {
+	books []*Book
+	names []string
+}
+
+func newGroup(n int) *group {
+	g := &group{}
+	for i := range n {
+		g.books = append(g.books, newBook(limits))
+		g.names = append(g.names, fmt.Sprint("h", i))
+	}
+	for i := range g.books {
+		for j := range g.books {
+			if i != j {
+				g.books[i].Peer(g.names[j], start)
+			}
+		}
+	}
+	return g
+}
+
+// exchange tells all hosts but the silent ones what the others admitted.
+func (g *group) exchange(now time.Time, silent map[int]bool) {
+	for i, from := range g.books {
+		sums := from.Admitted()
+		for j, to := range g.books {
+			if i != j && !silent[i] && !silent[j] {
+				to.Hear(g.names[i], "1", sums, now)
+			}
+		}
+	}
+}
+
+// play offers a load for a time and returns what was admitted in each step of
+// 50 ms and the cost that was refused.
+func (g *group) play(seed uint64, length time.Duration, offered func(at time.Duration) float64, silent map[int]bool) (admitted []float64, refused float64) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	const step = 50 * time.Millisecond
+	left := 0.0
+	for at := time.Duration(0); at < length; at += step {
+		now := start.Add(at)
+		if at%(200*time.Millisecond) == 0 {
+			g.exchange(now, silent)
+		}
+		sum := 0.0
+		left += offered(at) * step.Seconds()
+		for left > 0 {
+			cost := 200 + random.ExpFloat64()*8000
+			left -= cost
+			host := random.IntN(len(g.books))
+			if ok, wait := g.books[host].Admit(org, cost, now); ok {
+				sum += cost
+			} else {
+				refused += cost
+				if wait <= 0 {
+					panic("a refusal without a time to come back")
+				}
+			}
+		}
+		admitted = append(admitted, sum)
+	}
+	return admitted, refused
+}
+
+// mostIn is the most that was admitted in any window of 8 s.
+func mostIn(admitted []float64) float64 {
+	const steps = 160
+	most, sum := 0.0, 0.0
+	for i, n := range admitted {
+		sum += n
+		if i >= steps {
+			sum -= admitted[i-steps]
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// bound is what the quota allows in 8 s with the overshoot that is allowed.
+func bound() float64 { return (limits.Rate*8+limits.Burst)*1.1 + 30000 }
+
+func TestHotOrganisationStaysWithinItsQuotaOverAllHosts(t *testing.T) {
+	for seed := range uint64(5) {
+		admitted, _ := newGroup(8).play(seed, 30*time.Second, func(time.Duration) float64 { return 7 * limits.Rate }, nil)
+		assert.LessOrEqual(t, mostIn(admitted), bound(), "seed %d", seed)
+	}
+}
+
+func TestHotOrganisationUsesItsWholeQuota(t *testing.T) {
+	admitted, _ := newGroup(8).play(1, 30*time.Second, func(time.Duration) float64 { return 3 * limits.Rate }, nil)
+	sum := 0.0
+	for _, n := range admitted {
+		sum += n
+	}
+	assert.GreaterOrEqual(t, sum, 0.9*30*limits.Rate)
+}
+
+func TestOrganisationWithinItsQuotaIsNotRefused(t *testing.T) {
+	_, refused := newGroup(8).play(2, 32*time.Second, func(at time.Duration) float64 {
+		if at < 2*time.Second {
+			return 0
+		}
+		return 0.7 * limits.Rate
+	}, nil)
+	assert.Less(t, refused, 0.01*30*limits.Rate)
+}
+
+func TestHostsThatAreCutOffKeepToTheirShares(t *testing.T) {
+	silent := map[int]bool{0: true, 1: true}
+	admitted, _ := newGroup(8).play(3, 11*time.Second, func(time.Duration) float64 { return 7 * limits.Rate }, silent)
+	assert.LessOrEqual(t, mostIn(admitted[40:]), bound())
+}
+
+func TestRestartedHostDoesNotCountEarlierUseOfItsPeers(t *testing.T) {
+	b := newBook(limits)
+	b.Peer("p", start)
+	ok, _ := b.Admit(org, 10, start)
+	require.True(t, ok)
+	b.Hear("p", "1", map[model.OrganisationID]float64{org: 50 * limits.Rate}, start)
+	ok, _ = b.Admit(org, 10, start.Add(time.Second))
+	assert.True(t, ok)
+}
+
+func TestUseOfARestartedPeerCountsFromZero(t *testing.T) {
+	b := newBook(limits)
+	b.Hear("p", "1", map[model.OrganisationID]float64{org: 50 * limits.Rate}, start)
+	_, _ = b.Admit(org, 1, start)
+	b.Hear("p", "2", map[model.OrganisationID]float64{org: 10 * limits.Rate}, start)
+	ok, wait := b.Admit(org, 1000, start)
+	assert.False(t, ok)
+	assert.Greater(t, wait, 5*time.Second)
+}
+
+func TestLowerQuotaHoldsAtOnce(t *testing.T) {
+	current := limits
+	b := NewBook(start, func(model.OrganisationID) Limits { return current })
+	b.Peer("p", start)
+	for i := range 40 {
+		b.Hear("p", "1", nil, start.Add(time.Duration(i)*100*time.Millisecond))
+		_, _ = b.Admit(org, 1, start.Add(time.Duration(i)*100*time.Millisecond))
+	}
+	current = Limits{Rate: 100, Burst: 100}
+	ok, _ := b.Admit(org, 50, start.Add(4*time.Second))
+	assert.True(t, ok)
+	ok, _ = b.Admit(org, 80, start.Add(4*time.Second))
+	assert.False(t, ok)
+}
+
+func TestRequestLargerThanTheBurstPassesWithAFullBucket(t *testing.T) {
+	b := newBook(Limits{Rate: 1000, Burst: 1000})
+	_, _ = b.Admit(org, 0, start)
+	ok, _ := b.Admit(org, 5000, start.Add(2*time.Second))
+	assert.True(t, ok)
+	ok, _ = b.Admit(org, 1, start.Add(3*time.Second))
+	assert.False(t, ok, "the debt is waited out")
+}
+
+func TestReturnGivesTheCostBack(t *testing.T) {
+	b := newBook(Limits{Rate: 1000, Burst: 1000})
+	_, _ = b.Admit(org, 0, start)
+	ok, _ := b.Admit(org, 1000, start.Add(2*time.Second))
+	require.True(t, ok)
+	b.Return(org, 1000)
+	ok, _ = b.Admit(org, 1000, start.Add(2*time.Second))
+	assert.True(t, ok)
+	assert.InDelta(t, 1000, b.Admitted()[org], 1)
+}
+
+func TestOrganisationWithoutAQuotaIsNeverRefused(t *testing.T) {
+	b := newBook(Limits{})
+	for range 100 {
+		ok, _ := b.Admit(org, 1e9, start)
+		require.True(t, ok)
+	}
+}
+
+func TestFirstRequestAtAHostKnowsWhatPeersAdmittedBefore(t *testing.T) {
+	b := newBook(limits)
+	for i := range 50 {
+		at := start.Add(time.Duration(i) * 200 * time.Millisecond)
+		used := float64(i) * 0.2 * 1.5 * limits.Rate
+		b.Hear("p", "1", map[model.OrganisationID]float64{org: used}, at)
+	}
+	ok, _ := b.Admit(org, 1000, start.Add(10*time.Second))
+	assert.False(t, ok)
+}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -73,6 +73,9 @@
 	}
 }
 
+// Unused returns a connection over which nothing was sent.
+func (c *Conn) Unused() { c.pool.put(c) }
+
 // quiet tells whether an idle connection is open and has no bytes pending. Bytes
 // after a complete answer belong to no request.
 func (c *Conn) quiet() bool {
--- /dev/null
+++ b/pkg/usagewindow/usagewindow_test.go
@@ -0,0 +1,51 @@
+package usagewindow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestCountsOfAllProcessesAddUp(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(5*time.Second, func() time.Time { return now })
+	c.Began("o")
+	c.Began("o")
+	c.Hear("h", "1", []Line{{200, "o", 3}}, now)
+	// The host was killed and has come back; what its former life counted stays.
+	c.Hear("h", "2", []Line{{200, "o", 1}}, now.Add(time.Second))
+	assert.Equal(t, int64(6), c.Sum(200)["o"])
+}
+
+func TestWindowsBeginAtMultiplesOfTheirLength(t *testing.T) {
+	now := time.Unix(1004, 999999999)
+	c := New(5*time.Second, func() time.Time { return now })
+	c.Began("o")
+	now = time.Unix(1005, 0)
+	c.Began("o")
+	assert.Equal(t, int64(1), c.Sum(200)["o"])
+	assert.Equal(t, int64(1), c.Sum(201)["o"])
+	assert.Equal(t, time.Unix(1005, 0), c.End(200))
+}
+
+func TestOlderWordOfAPeerIsIgnored(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(5*time.Second, func() time.Time { return now })
+	c.Hear("h", "1", []Line{{200, "o", 3}}, now.Add(time.Second))
+	c.Hear("h", "1", []Line{{200, "o", 1}}, now)
+	assert.Equal(t, int64(3), c.Sum(200)["o"])
+	assert.True(t, c.Told("h", "1", now))
+	assert.False(t, c.Told("h", "1", now.Add(time.Second)))
+	assert.False(t, c.Told("h", "2", now))
+}
+
+func TestOldWindowsAreForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(5*time.Second, func() time.Time { return now })
+	c.Began("o")
+	now = now.Add((windowsKept + 2) * 5 * time.Second)
+	c.Began("o")
+	assert.Empty(t, c.Sum(200))
+	assert.Len(t, c.Lines(), 1)
+}
