Mesh: learn who answered from the reply, and take its fields under the lock

Found by the race detector in whole-host tests against a stand-in of the platform. A reply was counted for the incarnation that was asked, not the one that answered, so that a restarted host looked alive under its former life. Usage windows are looked at as long as their reports may be due.

--- a/pkg/edgehost/duties.go
+++ b/pkg/edgehost/duties.go
@@ -21,8 +21,9 @@
 	// reportShare is the part of the delay allowed at which a window is reported
 	// without those who have not.
 	reportShare = 0.45
-	// reportWindows is the number of past windows that a holder looks at.
-	reportWindows = 3
+	// extraWindows is the number of past windows that a holder looks at beyond those
+	// whose reports are not overdue.
+	extraWindows = 2
 	// toldMargin is how long after the end of a window a peer's word counts as
 	// complete: requests sent in the window have begun by then.
 	toldMargin = 250 * time.Millisecond
@@ -90,7 +91,8 @@
 func (h *Host) reportUsage(ctx context.Context, fence uint64) {
 	now := h.clock.Now()
 	current := h.usage.Window(now)
-	for window := current - reportWindows; window < current; window++ {
+	past := int64(h.settings.UsageDelay/h.settings.UsageWindow) + extraWindows
+	for window := current - past; window < current; window++ {
 		if h.reported[window] || !h.ripe(window, now) {
 			continue
 		}
--- /dev/null
+++ b/pkg/fleetplan/fleetplan_test.go
@@ -0,0 +1,140 @@
+package fleetplan
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingpath/redwingpath/pkg/catalog"
+	"github.com/redwingpath/redwingpath/pkg/model"
+	"github.com/redwingpath/redwingpath/pkg/placement"
+)
+
+var scaling = &catalog.Scaling{
+	Min: 1, Max: 12, SpotPrice: 0.2,
+	Prices: map[model.DataCentreID]float64{"a": 1, "b": 0.8, "c": 1.25},
+}
+
+func engines(dc model.DataCentreID, n int, spot bool, stage placement.Stage) []Engine {
+	var list []Engine
+	for i := range n {
+		list = append(list, Engine{ID: model.BackendID(fmt.Sprint(dc, spot, stage, i)), DataCentre: dc, Spot: spot, Stage: stage})
+	}
+	return list
+}
+
+func desired(targets []Target, dc model.DataCentreID, spot bool) int {
+	for _, t := range targets {
+		if t.DataCentre == dc && t.Spot == spot {
+			return t.Desired
+		}
+	}
+	return -1
+}
+
+func TestOrdinaryEnginesStayUntilCheapOnesAreThere(t *testing.T) {
+	p := DefaultPolicy()
+	targets := p.Scale(scaling, engines("a", 6, false, placement.StageDecode))
+	assert.Equal(t, 6, desired(targets, "a", false))
+	assert.Equal(t, 6, desired(targets, "a", true), "both prices together stay within the limit")
+	both := append(engines("a", 6, false, placement.StageDecode), engines("a", 6, true, placement.StagePrefill)...)
+	targets = p.Scale(scaling, both)
+	assert.Equal(t, p.Ordinary, desired(targets, "a", false))
+	assert.Equal(t, 12-p.Ordinary, desired(targets, "a", true))
+}
+
+func TestScaleStaysWithinTheLimitsOfADataCentre(t *testing.T) {
+	for ordinary := range 13 {
+		for spot := range 13 - ordinary {
+			list := append(engines("a", ordinary, false, placement.StageDecode), engines("a", spot, true, placement.StagePrefill)...)
+			targets := DefaultPolicy().Scale(scaling, list)
+			sum := desired(targets, "a", false) + desired(targets, "a", true)
+			assert.LessOrEqual(t, sum, scaling.Max, "%d ordinary, %d cheap", ordinary, spot)
+			assert.GreaterOrEqual(t, sum, scaling.Min)
+		}
+	}
+}
+
+func TestNoCheapEnginesAreOrderedWhereThereAreNone(t *testing.T) {
+	s := *scaling
+	s.SpotPrice = 0
+	targets := DefaultPolicy().Scale(&s, nil)
+	assert.Equal(t, 0, desired(targets, "b", true))
+	assert.Equal(t, DefaultPolicy().PerDataCentre, desired(targets, "b", false))
+}
+
+// apply carries changes out.
+func apply(list []Engine, changes []Change) {
+	for _, c := range changes {
+		for i := range list {
+			if list[i].ID == c.ID {
+				list[i].Stage = c.Stage
+			}
+		}
+	}
+}
+
+func decoders(list []Engine) (n, spot int) {
+	for _, e := range list {
+		if e.Stage == placement.StageDecode {
+			n++
+			if e.Spot {
+				spot++
+			}
+		}
+	}
+	return n, spot
+}
+
+func TestCheapEnginesReadAndOrdinaryOnesDecode(t *testing.T) {
+	p := DefaultPolicy()
+	var list []Engine
+	for _, dc := range []model.DataCentreID{"a", "b", "c"} {
+		list = append(list, engines(dc, 1, false, placement.StagePrefill)...)
+		list = append(list, engines(dc, 1, false, placement.StageDecode)...)
+		list = append(list, engines(dc, 4, true, placement.StagePrefill)...)
+		list = append(list, engines(dc, 6, true, placement.StageDecode)...)
+	}
+	for range 10 {
+		apply(list, p.Stages(list))
+	}
+	n, spot := decoders(list)
+	assert.InDelta(t, p.DecodeShare*float64(len(list)), n, 1)
+	assert.Empty(t, p.Stages(list), "a plan that is met asks for no change")
+	assert.Less(t, spot, n)
+}
+
+func TestSomeEnginesDecodeWhateverIsLost(t *testing.T) {
+	p := DefaultPolicy()
+	list := engines("a", 3, true, placement.StagePrefill)
+	changes := p.Stages(list)
+	require.NotEmpty(t, changes)
+	assert.Equal(t, placement.StageDecode, changes[0].Stage)
+	assert.Empty(t, p.Stages(engines("a", 1, true, placement.StagePrefill)), "a single engine stays")
+}
+
+func TestChangesAreBounded(t *testing.T) {
+	p := DefaultPolicy()
+	list := engines("a", 30, true, placement.StageDecode)
+	first := p.Stages(list)
+	assert.LessOrEqual(t, len(first), int(p.Changes*30))
+	for i := range list {
+		for _, c := range first {
+			if list[i].ID == c.ID {
+				list[i].Stage, list[i].Switching = c.Stage, true
+			}
+		}
+	}
+	assert.LessOrEqual(t, len(p.Stages(list))+len(first), int(p.Changes*30)+1)
+}
+
+func TestLeavingEnginesDoNotCount(t *testing.T) {
+	list := engines("a", 4, false, placement.StageDecode)
+	for i := range list {
+		list[i].Leaving = true
+	}
+	assert.Empty(t, DefaultPolicy().Stages(list))
+	assert.Equal(t, 12-DefaultPolicy().Ordinary, desired(DefaultPolicy().Scale(scaling, list), "a", true))
+}
--- /dev/null
+++ b/pkg/gateway/gateway_test.go
@@ -0,0 +1,566 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/redwingpath/redwingpath/pkg/catalog"
+	"github.com/redwingpath/redwingpath/pkg/model"
+	"github.com/redwingpath/redwingpath/pkg/placement"
+	"github.com/redwingpath/redwingpath/pkg/upstream"
+)
+
+// plainDialect uses one header for each statement.
+type plainDialect struct{}
+
+func (plainDialect) Head(h http.Header) (Head, string) {
+	head := Head{ID: h.Get("X-Id"), Key: h.Get("X-Key"), ResumeAfter: h.Get("X-After")}
+	if ms, err := strconv.Atoi(h.Get("X-Deadline")); err == nil {
+		head.Deadline = time.Duration(ms) * time.Millisecond
+	}
+	if n, err := strconv.Atoi(h.Get("X-Tokens")); err == nil {
+		head.Sized, head.PromptTokens = true, n
+		head.Parts = []placement.Part{{ID: 1, Tokens: n / 2}, {ID: 2, Tokens: n / 2}}
+	}
+	return head, ""
+}
+
+func (plainDialect) Request(caller http.Header, o Outgoing) http.Header {
+	h := caller.Clone()
+	h.Del("X-Key")
+	h.Set("X-Instance", string(o.Instance))
+	h.Set("X-Org", string(o.Organisation))
+	h.Set("X-Deadline", strconv.FormatInt(o.Deadline.Milliseconds(), 10))
+	if o.ResumeAfter != "" {
+		h.Set("X-After", o.ResumeAfter)
+	}
+	if o.PrefillOnly {
+		h.Set("X-Prefill", "1")
+	}
+	if o.CacheHandle != "" {
+		h.Set("X-Cache", o.CacheAddress+"/"+o.CacheHandle)
+	}
+	return h
+}
+
+func (plainDialect) Reply(status int, h http.Header) Reply {
+	return Reply{ID: h.Get("X-Id"), NotRun: h.Get("X-Not-Run") != "", Misdirected: status == 421, Sealed: h.Get("X-Seal") != ""}
+}
+
+func (plainDialect) Returned(h http.Header) http.Header {
+	out := h.Clone()
+	out.Del("Content-Length")
+	return out
+}
+
+func (plainDialect) Handle(body []byte) (string, error) {
+	if len(body) == 0 {
+		return "", errors.New("no handle")
+	}
+	return string(body), nil
+}
+
+func (plainDialect) Release(handle string) (string, string) {
+	return http.MethodDelete, "/release/" + handle
+}
+
+type countingUsage struct{ n atomic.Int64 }
+
+func (u *countingUsage) Began(model.OrganisationID) { u.n.Add(1) }
+
+// fixedLimiter admits unless it is full.
+type fixedLimiter struct {
+	full     atomic.Bool
+	returned atomic.Int64
+}
+
+func (l *fixedLimiter) Admit(model.OrganisationID, float64, time.Time) (bool, time.Duration) {
+	return !l.full.Load(), time.Second
+}
+
+func (l *fixedLimiter) Return(model.OrganisationID, float64) { l.returned.Add(1) }
+
+// backendServer is a stand-in whose behaviour each test sets.
+type backendServer struct {
+	id      string
+	address string
+	runs    atomic.Int64
+	mu      sync.Mutex
+	seen    []*http.Request
+	bodies  []string
+}
+
+func (b *backendServer) requests() []*http.Request {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]*http.Request(nil), b.seen...)
+}
+
+// answer is what a stand-in does with a request, on a raw connection.
+type answer func(b *backendServer, conn net.Conn, r *http.Request)
+
+func startBackend(t *testing.T, id string, do answer) *backendServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	b := &backendServer{id: id, address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(conn, do)
+		}
+	}()
+	return b
+}
+
+func (b *backendServer) serve(conn net.Conn, do answer) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		b.mu.Lock()
+		b.seen = append(b.seen, r)
+		b.bodies = append(b.bodies, string(body))
+		b.mu.Unlock()
+		do(b, conn, r)
+	}
+}
+
+func serveOK(body string) answer {
+	return func(b *backendServer, conn net.Conn, r *http.Request) {
+		b.runs.Add(1)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("X-Id"), len(body), body)
+	}
+}
+
+func status(code int, headers string) answer {
+	return func(b *backendServer, conn net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nX-Id: %s\r\n%sContent-Length: 0\r\n\r\n", code, r.Header.Get("X-Id"), headers)
+	}
+}
+
+func closeAfterRun(b *backendServer, conn net.Conn, _ *http.Request) {
+	b.runs.Add(1)
+	_ = conn.Close()
+}
+
+// streamFrom sends events up to a number, and ends the stream if it is whole.
+func streamFrom(last int, whole bool) answer {
+	return func(b *backendServer, conn net.Conn, r *http.Request) {
+		b.runs.Add(1)
+		after, _ := strconv.Atoi(r.Header.Get("X-After"))
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s-%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("X-Id"), b.id)
+		for i := after + 1; i <= last; i++ {
+			event := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
+			_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
+		}
+		if whole {
+			_, _ = io.WriteString(conn, "0\r\n\r\n")
+			return
+		}
+		_, _ = io.WriteString(conn, "9\r\nid: 99\nda")
+		_ = conn.Close()
+	}
+}
+
+// bed is a gateway in front of stand-ins.
+type bed struct {
+	gateway *Gateway
+	server  *httptest.Server
+	fleet   *placement.Fleet
+	limiter *fixedLimiter
+	usage   *countingUsage
+	catalog atomic.Pointer[catalog.Catalog]
+}
+
+func newBed(t *testing.T, settings func(*Settings), backends ...placement.Backend) *bed {
+	t.Helper()
+	b := &bed{fleet: placement.NewFleet(placement.DefaultSettings()), limiter: &fixedLimiter{}, usage: &countingUsage{}}
+	for _, s := range backends {
+		b.fleet.Update(s)
+	}
+	b.catalog.Store(catalog.New(catalog.Config{
+		Version: 1,
+		Routes: []catalog.Route{
+			{Name: "pay", Host: "h", Prefix: "/pay/", Kind: catalog.NonIdempotent, Timeout: time.Second, MaxAttempts: 2, Split: []catalog.Share{{Service: "plain", Weight: 1}}},
+			{Name: "look", Host: "h", Prefix: "/look/", Kind: catalog.Idempotent, Timeout: time.Second, MaxAttempts: 2, Split: []catalog.Share{{Service: "plain", Weight: 1}}},
+			{Name: "say", Host: "h", Prefix: "/say/", Kind: catalog.Streaming, Timeout: 2 * time.Second, MaxAttempts: 2, Resumable: true, Split: []catalog.Share{{Service: "model", Weight: 1}}},
+			{Name: "once", Host: "h", Prefix: "/once/", Kind: catalog.Streaming, Timeout: 2 * time.Second, MaxAttempts: 1, Split: []catalog.Share{{Service: "model", Weight: 1}}},
+			{Name: "open", Host: "h", Prefix: "/open/", Kind: catalog.Idempotent, Timeout: time.Second, MaxAttempts: 2, Public: true, Split: []catalog.Share{{Service: "plain", Weight: 1}}},
+		},
+		Services:      []catalog.Service{{Name: "plain"}, {Name: "model", Engine: &catalog.Engine{}}},
+		Organisations: []catalog.Organisation{{ID: "org", Keys: []string{"key"}, ByTokens: true, PlainCost: 200, Rate: 1, Burst: 1}},
+	}))
+	s := DefaultSettings()
+	s.RetrySlack = 100
+	if settings != nil {
+		settings(&s)
+	}
+	b.gateway = New(s, Deps{
+		Catalog: b.catalog.Load, Fleet: b.fleet, Pool: upstream.NewPool(upstream.DefaultSettings()),
+		Dialect: plainDialect{}, Limiter: b.limiter, Usage: b.usage, Log: zap.NewNop(),
+	})
+	b.server = httptest.NewUnstartedServer(nil)
+	b.server.Config = b.gateway.NewServer()
+	b.server.Start()
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+func (s *backendServer) plain() placement.Backend {
+	return placement.Backend{ID: model.BackendID(s.id), Service: "plain", Address: s.address, Slots: 4}
+}
+
+func (s *backendServer) engine(stage placement.Stage) placement.Backend {
+	return placement.Backend{
+		ID: model.BackendID(s.id), Service: "model", Address: s.address, Slots: 4, Stage: stage,
+		Engine: &placement.EngineTraits{CacheTokens: 100000, TransferTokensPerMS: 1000},
+	}
+}
+
+type result struct {
+	status int
+	header http.Header
+	body   string
+	closes bool
+	err    error
+}
+
+func (b *bed) do(t *testing.T, method, path, body string, header map[string]string) result {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, b.server.URL+path, strings.NewReader(body))
+	require.NoError(t, err)
+	req.Host = "h"
+	req.Header.Set("X-Id", "r1")
+	req.Header.Set("X-Key", "key")
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return result{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return result{status: resp.StatusCode, header: resp.Header, body: string(raw), closes: resp.Close, err: err}
+}
+
+func TestRequestPassesUnchangedAndTheKeyStays(t *testing.T) {
+	s := startBackend(t, "s1", serveOK("whole"))
+	b := newBed(t, nil, s.plain())
+	r := b.do(t, http.MethodPost, "/pay/a%2Fb/?q=1%20&x", "the body", map[string]string{"X-Other": "o", "X-Deadline": "700"})
+	require.NoError(t, r.err)
+	assert.Equal(t, 200, r.status)
+	assert.Equal(t, "whole", r.body)
+	assert.Equal(t, "s", r.header.Get("X-Seal"))
+	seen := s.requests()
+	require.Len(t, seen, 1)
+	assert.Equal(t, "/pay/a%2Fb/?q=1%20&x", seen[0].RequestURI)
+	assert.Equal(t, "the body", s.bodies[0])
+	assert.Equal(t, "h", seen[0].Host)
+	assert.Equal(t, "o", seen[0].Header.Get("X-Other"))
+	assert.Equal(t, "s1", seen[0].Header.Get("X-Instance"))
+	assert.Equal(t, "org", seen[0].Header.Get("X-Org"))
+	assert.Empty(t, seen[0].Header.Get("X-Key"))
+	left, err := strconv.Atoi(seen[0].Header.Get("X-Deadline"))
+	require.NoError(t, err)
+	assert.LessOrEqual(t, left, 700)
+	assert.Greater(t, left, 400)
+	assert.Equal(t, int64(1), b.usage.n.Load())
+}
+
+func TestRefusalsOfTheHost(t *testing.T) {
+	s := startBackend(t, "s1", serveOK("x"))
+	b := newBed(t, nil, s.plain())
+	assert.Equal(t, 404, b.do(t, "GET", "/none/", "", nil).status)
+	assert.Equal(t, 401, b.do(t, "GET", "/look/", "", map[string]string{"X-Key": "other"}).status)
+	assert.Equal(t, 200, b.do(t, "GET", "/open/", "", map[string]string{"X-Key": ""}).status)
+	b.limiter.full.Store(true)
+	r := b.do(t, "POST", "/pay/", "x", nil)
+	assert.Equal(t, 429, r.status)
+	after, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	assert.GreaterOrEqual(t, after, 1.0)
+	assert.Len(t, s.requests(), 1)
+}
+
+func TestHostWithoutAConfigurationAnswers503(t *testing.T) {
+	b := newBed(t, nil)
+	b.catalog.Store(nil)
+	r := b.do(t, "GET", "/none/", "", nil)
+	assert.Equal(t, 503, r.status)
+	assert.NotEmpty(t, r.header.Get("Retry-After"))
+}
+
+func TestTooLargeABodyIsRefused(t *testing.T) {
+	s := startBackend(t, "s1", serveOK("x"))
+	b := newBed(t, func(s *Settings) { s.BodyBytes = 10 }, s.plain())
+	assert.Equal(t, 413, b.do(t, "POST", "/pay/", strings.Repeat("x", 11), nil).status)
+	assert.Empty(t, s.requests())
+}
+
+func TestNonIdempotentRequestIsNotSentAgainAfterAnUnknownOutcome(t *testing.T) {
+	one := startBackend(t, "s1", closeAfterRun)
+	two := startBackend(t, "s2", closeAfterRun)
+	b := newBed(t, nil, one.plain(), two.plain())
+	r := b.do(t, "POST", "/pay/", "x", nil)
+	assert.Equal(t, 502, r.status)
+	assert.Empty(t, r.header.Get("Retry-After"))
+	assert.Empty(t, r.header.Get("X-Seal"))
+	assert.Equal(t, int64(1), one.runs.Load()+two.runs.Load())
+	assert.Zero(t, b.limiter.returned.Load(), "what may have run is used")
+}
+
+func TestNonIdempotentRequestIsSentAgainWhereItHasNotRun(t *testing.T) {
+	for name, refuse := range map[string]answer{
+		"misdirected": status(421, ""),
+		"full":        status(503, "X-Not-Run: 1\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			one := startBackend(t, "s1", refuse)
+			two := startBackend(t, "s2", serveOK("done"))
+			b := newBed(t, nil, one.plain(), two.plain())
+			for range 4 {
+				r := b.do(t, "POST", "/pay/", "x", nil)
+				assert.Equal(t, 200, r.status)
+				assert.Equal(t, "done", r.body)
+			}
+		})
+	}
+}
+
+func TestRefusalThatSaysNotRunIsGivenOnlyWhereThatIsTrue(t *testing.T) {
+	full := startBackend(t, "s1", status(503, "X-Not-Run: 1\r\n"))
+	b := newBed(t, nil, full.plain())
+	r := b.do(t, "POST", "/pay/", "x", nil)
+	assert.Equal(t, 503, r.status)
+	assert.NotEmpty(t, r.header.Get("Retry-After"))
+	assert.Equal(t, int64(1), b.limiter.returned.Load(), "what has not run is given back")
+}
+
+func TestAnswerOfAnotherRequestIsNotPassedOn(t *testing.T) {
+	s := startBackend(t, "s1", func(b *backendServer, conn net.Conn, _ *http.Request) {
+		b.runs.Add(1)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nno")
+	})
+	b := newBed(t, nil, s.plain())
+	r := b.do(t, "POST", "/pay/", "x", nil)
+	assert.Equal(t, 502, r.status)
+	assert.NotContains(t, r.body, "no")
+}
+
+func TestSuccessWithoutASealIsNotPassedOn(t *testing.T) {
+	s := startBackend(t, "s1", func(_ *backendServer, conn net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 2\r\n\r\nno", r.Header.Get("X-Id"))
+	})
+	b := newBed(t, nil, s.plain())
+	assert.Equal(t, 502, b.do(t, "POST", "/pay/", "x", nil).status)
+}
+
+func TestFailureOfABackendServerIsTriedElsewhereIfIdempotent(t *testing.T) {
+	fails := func(b *backendServer, conn net.Conn, r *http.Request) {
+		b.runs.Add(1)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 500 X\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
+	}
+	one, two := startBackend(t, "s1", fails), startBackend(t, "s2", fails)
+	b := newBed(t, nil, one.plain(), two.plain())
+	r := b.do(t, "GET", "/look/", "", nil)
+	assert.Equal(t, 500, r.status, "the last failure is the backend server's own")
+	assert.Equal(t, "s", r.header.Get("X-Seal"))
+	assert.Equal(t, int64(1), one.runs.Load())
+	assert.Equal(t, int64(1), two.runs.Load())
+	r = b.do(t, "POST", "/pay/", "x", nil)
+	assert.Equal(t, 500, r.status)
+	assert.Equal(t, int64(3), one.runs.Load()+two.runs.Load())
+}
+
+func TestResendsKeepToTheBudget(t *testing.T) {
+	one, two := startBackend(t, "s1", closeAfterRun), startBackend(t, "s2", closeAfterRun)
+	b := newBed(t, func(s *Settings) { s.RetrySlack, s.RetryRatio = 2, 0 }, one.plain(), two.plain())
+	for range 5 {
+		assert.Equal(t, 502, b.do(t, "GET", "/look/", "", nil).status)
+	}
+	assert.Equal(t, int64(7), one.runs.Load()+two.runs.Load())
+}
+
+func TestStreamGoesOnAtAnotherEngineAfterTheLastWholeEvent(t *testing.T) {
+	broken := startBackend(t, "s1", streamFrom(3, false))
+	whole := startBackend(t, "s2", streamFrom(6, true))
+	b := newBed(t, nil, broken.engine(placement.StageDecode), whole.engine(placement.StageDecode))
+	for range 6 {
+		r := b.do(t, "POST", "/say/", "x", map[string]string{"X-Tokens": "10"})
+		require.NoError(t, r.err)
+		var want strings.Builder
+		for i := 1; i <= 6; i++ {
+			fmt.Fprintf(&want, "id: %d\ndata: e%d\n\n", i, i)
+		}
+		assert.Equal(t, want.String(), r.body)
+	}
+	assert.Positive(t, broken.runs.Load())
+}
+
+func TestStreamThatCannotBeResumedIsBrokenOff(t *testing.T) {
+	broken := startBackend(t, "s1", streamFrom(3, false))
+	whole := startBackend(t, "s2", streamFrom(6, true))
+	b := newBed(t, nil, broken.engine(placement.StageDecode))
+	r := b.do(t, "POST", "/once/", "x", map[string]string{"X-Tokens": "10"})
+	assert.Error(t, r.err, "a part must not look like the whole")
+	b.fleet.Update(whole.engine(placement.StageDecode))
+	assert.Zero(t, whole.runs.Load())
+}
+
+func TestPromptIsReadAtThePrefillEngineFirst(t *testing.T) {
+	reader := startBackend(t, "p", func(b *backendServer, conn net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 6\r\n\r\nhandle", r.Header.Get("X-Id"))
+	})
+	runner := startBackend(t, "d", streamFrom(2, true))
+	b := newBed(t, nil, reader.engine(placement.StagePrefill), runner.engine(placement.StageDecode))
+	r := b.do(t, "POST", "/once/", "x", map[string]string{"X-Tokens": "20000"})
+	require.NoError(t, r.err)
+	assert.Equal(t, 200, r.status)
+	require.Len(t, reader.requests(), 1)
+	assert.Equal(t, "1", reader.requests()[0].Header.Get("X-Prefill"))
+	require.Len(t, runner.requests(), 1)
+	assert.Equal(t, reader.address+"/handle", runner.requests()[0].Header.Get("X-Cache"))
+	assert.Empty(t, runner.requests()[0].Header.Get("X-Prefill"))
+}
+
+func TestRequestIsReadWhereItRunsIfThePrefillFails(t *testing.T) {
+	reader := startBackend(t, "p", status(503, "X-Not-Run: 1\r\n"))
+	runner := startBackend(t, "d", streamFrom(2, true))
+	b := newBed(t, nil, reader.engine(placement.StagePrefill), runner.engine(placement.StageDecode))
+	r := b.do(t, "POST", "/once/", "x", map[string]string{"X-Tokens": "20000"})
+	require.NoError(t, r.err)
+	assert.Equal(t, 200, r.status)
+}
+
+func TestEngineThatBeganToLeaveDuringThePrefillIsNotSentTheRequest(t *testing.T) {
+	var b *bed
+	leaving := startBackend(t, "d1", streamFrom(2, true))
+	staying := startBackend(t, "d2", streamFrom(2, true))
+	reader := startBackend(t, "p", func(_ *backendServer, conn net.Conn, r *http.Request) {
+		gone := leaving.engine(placement.StageDecode)
+		gone.Leaving = true
+		b.fleet.Update(gone)
+		b.fleet.Update(staying.engine(placement.StageDecode))
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 6\r\n\r\nhandle", r.Header.Get("X-Id"))
+	})
+	b = newBed(t, nil, reader.engine(placement.StagePrefill), leaving.engine(placement.StageDecode))
+	r := b.do(t, "POST", "/once/", "x", map[string]string{"X-Tokens": "20000"})
+	require.NoError(t, r.err)
+	assert.Equal(t, 200, r.status)
+	assert.Empty(t, leaving.requests())
+}
+
+func TestSilentEngineIsLeftForAnotherOne(t *testing.T) {
+	silent := startBackend(t, "s1", func(*backendServer, net.Conn, *http.Request) { time.Sleep(3 * time.Second) })
+	whole := startBackend(t, "s2", streamFrom(2, true))
+	b := newBed(t, func(s *Settings) { s.SilenceLeast, s.SilenceFactor = 100*time.Millisecond, 0 },
+		silent.engine(placement.StageDecode), whole.engine(placement.StageDecode))
+	for range 4 {
+		r := b.do(t, "POST", "/say/", "x", map[string]string{"X-Tokens": "10"})
+		require.NoError(t, r.err)
+		assert.Equal(t, 200, r.status)
+	}
+	assert.LessOrEqual(t, len(silent.requests()), 2, "a silent server is suspected")
+}
+
+func TestTimeoutOfTheRouteEndsARequest(t *testing.T) {
+	silent := startBackend(t, "s1", func(*backendServer, net.Conn, *http.Request) { time.Sleep(3 * time.Second) })
+	b := newBed(t, nil, silent.plain())
+	started := time.Now()
+	r := b.do(t, "POST", "/pay/", "x", nil)
+	assert.Equal(t, 504, r.status)
+	assert.InDelta(t, 1.0, time.Since(started).Seconds(), 0.3)
+}
+
+func TestCallerThatLeavesEndsTheRun(t *testing.T) {
+	closed := make(chan struct{})
+	s := startBackend(t, "s1", func(_ *backendServer, conn net.Conn, _ *http.Request) {
+		_, _ = conn.Read(make([]byte, 1))
+		close(closed)
+	})
+	b := newBed(t, nil, s.plain())
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.server.URL+"/pay/", strings.NewReader("x"))
+	require.NoError(t, err)
+	req.Host = "h"
+	req.Header.Set("X-Key", "key")
+	_, err = http.DefaultTransport.RoundTrip(req)
+	require.Error(t, err)
+	select {
+	case <-closed:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the run was not ended")
+	}
+}
+
+func TestRequestThatCrashesEnginesIsRefused(t *testing.T) {
+	var engines []*backendServer
+	var backends []placement.Backend
+	for i := range 4 {
+		s := startBackend(t, fmt.Sprint("s", i), closeAfterRun)
+		engines = append(engines, s)
+		backends = append(backends, s.engine(placement.StageDecode))
+	}
+	b := newBed(t, nil, backends...)
+	total := func() (n int64) {
+		for _, s := range engines {
+			n += s.runs.Load()
+		}
+		return n
+	}
+	for range 6 {
+		r := b.do(t, "POST", "/say/", "poison", map[string]string{"X-Tokens": "10"})
+		assert.Equal(t, 502, r.status)
+	}
+	assert.LessOrEqual(t, total(), int64(4))
+	before := total()
+	b.do(t, "POST", "/say/", "innocent", map[string]string{"X-Tokens": "10"})
+	assert.Greater(t, total(), before, "another request is not blamed")
+}
+
+func TestRequestThatCannotMakeItsDeadlineIsRefusedAtOnce(t *testing.T) {
+	s := startBackend(t, "s1", streamFrom(2, true))
+	b := newBed(t, nil, s.engine(placement.StageDecode))
+	started := time.Now()
+	r := b.do(t, "POST", "/say/", "x", map[string]string{"X-Tokens": "500000"})
+	assert.Equal(t, 503, r.status)
+	assert.NotEmpty(t, r.header.Get("Retry-After"))
+	assert.Less(t, time.Since(started), 200*time.Millisecond)
+	assert.Empty(t, s.requests())
+}
+
+func TestStoppingHostAsksCallersToClose(t *testing.T) {
+	s := startBackend(t, "s1", serveOK("x"))
+	b := newBed(t, nil, s.plain())
+	b.gateway.Stop()
+	r := b.do(t, "GET", "/look/", "", nil)
+	assert.Equal(t, 200, r.status)
+	assert.True(t, r.closes)
+}
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -191,30 +191,29 @@
 }
 
 func (m *Mesh) exchange(ctx context.Context, s *memberState, message *Message) {
+	m.mu.Lock()
+	target := s.Member
+	m.mu.Unlock()
 	before := m.deps.Now()
-	reply, err := peer.Call[Reply](ctx, m.client, s.Address, methodExchange, message)
+	reply, err := peer.Call[Reply](ctx, m.client, target.Address, methodExchange, message)
 	after := m.deps.Now()
 	m.mu.Lock()
 	s.busy = false
-	if err == nil && m.members[s.Address] == s && s.Host == s.Address {
-		// A seed answered; it introduces itself by its own messages.
-		s.heard = time.Now()
-		m.mu.Unlock()
-		m.compare(ctx, s.Address, reply.Ends)
-		return
-	}
 	m.mu.Unlock()
 	if err != nil {
-		m.deps.Log.Debug("exchange with a peer failed", zap.String("peer", s.Host), zap.Error(err))
+		m.deps.Log.Debug("exchange with a peer failed", zap.String("peer", target.Host), zap.Error(err))
 		return
 	}
-	m.hear(s.Member)
-	m.deps.Clock(s.Host, reply.Now, before.Add(after.Sub(before)/2))
-	m.compare(ctx, s.Address, reply.Ends)
+	m.hear(reply.From)
+	m.deps.Clock(reply.From.Host, reply.Now, before.Add(after.Sub(before)/2))
+	m.compare(ctx, target.Address, reply.Ends)
 }
 
 // hear notes a sign of life.
 func (m *Mesh) hear(from Member) {
+	if from.Host == m.deps.Self.Host || from.Host == "" {
+		return
+	}
 	m.mu.Lock()
 	s := m.members[from.Host]
 	if s == nil || s.Incarnation != from.Incarnation || s.Address != from.Address {
@@ -344,6 +343,7 @@
 // Exchange is an rpc method.
 func (s *service) Exchange(message *Message, reply *Reply) error {
 	m := s.mesh
+	reply.From = m.deps.Self
 	reply.Now = m.deps.Now()
 	reply.Ends = m.ends()
 	if message.From.Stopped {
--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -52,6 +52,7 @@
 
 // Reply answers a message.
 type Reply struct {
+	From Member
 	Now  time.Time
 	Ends map[string]uint64
 }
