--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -27,8 +27,12 @@
 	// intervalPerPeer keeps a host at no more than 100 messages a second however
 	// many hosts there are.
 	intervalPerPeer = 10 * time.Millisecond
+	// membersEvery is the number of rounds between those that introduce members.
+	membersEvery = 16
 	// silentAfter is the silence from which a peer counts as lost.
 	silentAfter = 1500 * time.Millisecond
+	// silentRounds is the same as a number of rounds, where these take longer.
+	silentRounds = 3
 	// retryLost is the pause between attempts to reach a lost peer.
 	retryLost = time.Second
 	// forgetAfter is the silence after which a peer is no longer tried.
@@ -65,8 +69,9 @@
 
 	mu      sync.Mutex
 	members map[string]*memberState
-	stopped bool
 	pulling sync.Map
+	// rounds counts the rounds; only Run uses it.
+	rounds int
 }
 
 type memberState struct {
@@ -115,6 +120,7 @@
 		case <-timer.C:
 		}
 	}
+	m.rounds = 0
 	m.goodbye()
 	m.client.Close()
 	if err := m.server.Close(); err != nil {
@@ -134,7 +140,11 @@
 }
 
 func (m *Mesh) compose() *Message {
-	message := &Message{From: m.deps.Self, Now: m.deps.Now(), Ends: m.ends(), Members: m.Live()}
+	message := &Message{From: m.deps.Self, Now: m.deps.Now(), Ends: m.ends()}
+	if m.rounds%membersEvery == 0 {
+		message.Members = m.Live()
+	}
+	m.rounds++
 	m.deps.Compose(message)
 	return message
 }
@@ -161,7 +171,7 @@
 			delete(m.members, host)
 			continue
 		}
-		if silence > silentAfter {
+		if silence > m.silent() {
 			if !s.lost {
 				s.lost = true
 				go m.deps.Lost(host)
@@ -246,6 +256,11 @@
 	}
 }
 
+// silent is the silence from which a peer counts as lost.
+func (m *Mesh) silent() time.Duration {
+	return max(silentAfter, silentRounds*time.Duration(len(m.members))*intervalPerPeer)
+}
+
 // Live lists the members that were heard from lately.
 func (m *Mesh) Live() []Member {
 	m.mu.Lock()
@@ -253,7 +268,7 @@
 	now := time.Now()
 	var live []Member
 	for host, s := range m.members {
-		if now.Sub(s.heard) <= silentAfter && host != s.Address {
+		if now.Sub(s.heard) <= m.silent() && host != s.Address {
 			live = append(live, s.Member)
 		}
 	}
