One host of each data centre reads the store for the others

A host now reads only if it is the first of its data centre that does, or if its copies are out of date; entries that differ in nothing but their heartbeat are not passed on. Ruled out: longer pauses, which the bound for leaving servers does not allow. Work of requests that end early is taken off the engine it was planned for: the believed backlog had grown to 18 s.

--- a/pkg/edgehost/host.go
+++ b/pkg/edgehost/host.go
@@ -75,7 +75,7 @@
 func New(s *Settings, p Platform, dialect gateway.Dialect, log *zap.Logger) (*Host, error) {
 	h := &Host{
 		settings: s, log: log, platform: p,
-		self:     mesh.Member{Host: string(s.Host), Incarnation: ulid.Make().String(), Address: s.Peers},
+		self:     mesh.Member{Host: string(s.Host), Incarnation: ulid.Make().String(), Address: s.Peers, DataCentre: string(s.DataCentre)},
 		clock:    truetime.New(truetime.System()),
 		tables:   map[string]*mirror.Table{},
 		follower: map[string]*mirror.Follower{},
@@ -95,6 +95,7 @@
 	h.registry = &registry{
 		platform: p, fleet: h.fleet, catalog: h.catalog.Load, log: log, entries: map[string]*registered{},
 		forget: func(address string) { h.pool.Condemn(address) }, bad: h.metrics.badRecords.Inc,
+		kick: func() { h.mesh.Kick() },
 	}
 	h.duties = &duty.Keeper{Host: h.self.Host, Incarnation: h.self.Incarnation, Log: p.DutyLog(), Logger: log}
 	h.follow(TopicConfiguration, configurationWait, 0)
@@ -114,10 +115,9 @@
 
 // Timing of the reads of the store.
 const (
-	// configurationWait is how long a read waits for a new configuration. It is
-	// above the time in which a change must be in force only where the connection
-	// is sound; peers pass changes on besides.
-	configurationWait = 2500 * time.Millisecond
+	// configurationWait is how long a read waits for a new configuration. Peers of
+	// a host that reads for them know from its end that the store still answers.
+	configurationWait = 600 * time.Millisecond
 	// backendsInterval is the pause between reads of the registrations, a quarter
 	// of the time in which a leaving server must get no more work.
 	backendsInterval = 500 * time.Millisecond
@@ -126,11 +126,21 @@
 )
 
 func (h *Host) follow(topic string, wait, interval time.Duration) {
-	table := mirror.NewTable()
+	var same func(old, new []byte) bool
+	if topic == TopicBackends {
+		same = h.sameRegistration
+	}
+	table := mirror.NewTable(same)
 	h.tables[topic] = table
 	f := &mirror.Follower{
 		Topic: topic, Table: table, Store: h.platform, Wait: wait, Interval: interval, Log: h.log,
-		Changed: func(records []mirror.Record) { h.changed(topic, records) },
+		Idle: func() bool { return h.keptUpToDate(table) },
+		Changed: func(records []mirror.Record) {
+			h.changed(topic, records)
+			if topic == TopicConfiguration {
+				h.mesh.Kick()
+			}
+		},
 		Lost: func(err error) {
 			h.log.Warn("store lost", zap.String("topic", topic), zap.Error(err))
 			h.metrics.storeUp.WithLabelValues(topic).Set(0)
@@ -145,6 +155,23 @@
 	h.follower[topic] = f
 }
 
+// sameRegistration tells whether two entries of a backend server differ in nothing
+// but their heartbeat.
+func (h *Host) sameRegistration(old, new []byte) bool {
+	a, errA := h.platform.Backend("", old)
+	b, errB := h.platform.Backend("", new)
+	return errA == nil && errB == nil && a == b
+}
+
+// keptAge is the age beyond two exchanges from which a table that peers keep up to
+// date counts as out of date: the time between two reads of theirs.
+const keptAge = 600 * time.Millisecond
+
+// keptUpToDate tells whether another host reads the store for this one.
+func (h *Host) keptUpToDate(table *mirror.Table) bool {
+	return !h.mesh.Reader() && time.Since(table.Heard()) < keptAge+2*h.mesh.Interval()
+}
+
 // changed applies records that came from the store or from a peer.
 func (h *Host) changed(topic string, records []mirror.Record) {
 	switch topic {
--- a/pkg/edgehost/registry.go
+++ b/pkg/edgehost/registry.go
@@ -25,6 +25,8 @@
 	catalog  func() *catalog.Catalog
 	log      *zap.Logger
 	bad      func()
+	// kick tells the peers at once of a server that begins to leave.
+	kick func()
 
 	mu      sync.Mutex
 	entries map[string]*registered
@@ -96,6 +98,7 @@
 			zap.String("address", n.Address), zap.String("data_centre", string(n.DataCentre)),
 			zap.Stringer("stage", n.Stage), zap.Bool("leaving", n.Leaving), zap.Bool("spot", n.Spot), zap.Int64("born", n.Born))
 	case old.Leaving != n.Leaving:
+		r.kick()
 		r.log.Info("backend server leaving", zap.String("backend", key), zap.Duration("leaves", n.Leaves))
 	case old.Stage != n.Stage:
 		r.log.Info("backend server changed its stage", zap.String("backend", key), zap.Stringer("stage", n.Stage))
@@ -151,6 +154,7 @@
 		return
 	}
 	delete(r.entries, key)
+	r.kick()
 	r.fleet.Remove(e.ID)
 	r.forget(e.Address)
 	r.log.Info("backend server gone", zap.String("backend", key), zap.String("reason", reason))
--- a/pkg/fleetplan/fleetplan.go
+++ b/pkg/fleetplan/fleetplan.go
@@ -22,10 +22,11 @@
 
 // Policy are the targets of a plan.
 type Policy struct {
-	// PerDataCentre is the number of engines in each data centre.
-	PerDataCentre int
-	// Ordinary is the number of those that are ordinary servers.
-	Ordinary int
+	// Total is the number of engines in each data centre, as a share of the most
+	// that the operator allows.
+	Total float64
+	// Ordinary is the share of those that are ordinary servers.
+	Ordinary float64
 	// DecodeShare is the part of the engines that decode, DecodeLeast the least
 	// number.
 	DecodeShare float64
@@ -37,7 +38,7 @@
 
 // DefaultPolicy returns the defaults.
 func DefaultPolicy() Policy {
-	return Policy{PerDataCentre: 12, Ordinary: 2, DecodeShare: 0.3, DecodeLeast: 2, Changes: 0.34}
+	return Policy{Total: 1, Ordinary: 1.0 / 6, DecodeShare: 0.3, DecodeLeast: 2, Changes: 0.34}
 }
 
 // Engine is one engine as the planner sees it.
@@ -71,6 +72,16 @@
 	return n
 }
 
+// total is the number of engines in each data centre.
+func (p Policy) total(s *catalog.Scaling) int {
+	return min(max(int(math.Round(p.Total*float64(s.Max))), s.Min), s.Max)
+}
+
+// ordinary is the number of ordinary servers among the engines of a data centre.
+func (p Policy) ordinary(total int) int {
+	return min(max(1, int(math.Round(p.Ordinary*float64(total)))), total)
+}
+
 // Scale plans the numbers of servers. Ordinary servers are given back only once
 // cheap ones have taken their place.
 func (p Policy) Scale(s *catalog.Scaling, engines []Engine) []Target {
@@ -80,9 +91,9 @@
 		centres = append(centres, dc)
 	}
 	slices.Sort(centres)
-	total := min(max(p.PerDataCentre, s.Min), s.Max)
+	total := p.total(s)
 	for _, dc := range centres {
-		ordinary := min(p.Ordinary, total)
+		ordinary := p.ordinary(total)
 		spot := total - ordinary
 		if s.SpotPrice <= 0 {
 			ordinary, spot = total, 0
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -70,6 +70,7 @@
 	mu      sync.Mutex
 	members map[string]*memberState
 	pulling sync.Map
+	kick    chan struct{}
 	// rounds counts the rounds; only Run uses it.
 	rounds int
 }
@@ -79,8 +80,10 @@
 	// heard is when a message or reply last came.
 	heard time.Time
 	tried time.Time
-	busy  bool
-	lost  bool
+	// readAt is when the member last read the store.
+	readAt time.Time
+	busy   bool
+	lost   bool
 }
 
 // New returns a mesh that listens at an address.
@@ -89,6 +92,7 @@
 		deps:    d,
 		client:  peer.NewClient(peer.ClientConfig{CallTimeout: exchangeTimeout, DialTimeout: exchangeTimeout}),
 		members: map[string]*memberState{},
+		kick:    make(chan struct{}, 1),
 	}
 	server, err := peer.NewServer(nil, nil)
 	if err != nil {
@@ -117,6 +121,8 @@
 		select {
 		case <-ctx.Done():
 			timer.Stop()
+		case <-m.kick:
+			timer.Stop()
 		case <-timer.C:
 		}
 	}
@@ -136,11 +142,11 @@
 	for _, t := range targets {
 		go m.exchange(ctx, t, message)
 	}
-	return max(interval, time.Duration(len(targets))*intervalPerPeer)
+	return m.Interval()
 }
 
 func (m *Mesh) compose() *Message {
-	message := &Message{From: m.deps.Self, Now: m.deps.Now(), Ends: m.ends()}
+	message := &Message{From: m.deps.Self, Now: m.deps.Now(), Copies: m.copies()}
 	if m.rounds%membersEvery == 0 {
 		message.Members = m.Live()
 	}
@@ -149,14 +155,15 @@
 	return message
 }
 
-func (m *Mesh) ends() map[string]uint64 {
-	ends := make(map[string]uint64, len(m.deps.Topics))
+func (m *Mesh) copies() map[string]Copy {
+	now := time.Now()
+	copies := make(map[string]Copy, len(m.deps.Topics))
 	for topic, table := range m.deps.Topics {
 		if table.Complete() {
-			ends[topic] = table.End()
+			copies[topic] = Copy{End: table.SignificantEnd(), Age: now.Sub(table.Heard()), ReadAge: now.Sub(table.LastRead())}
 		}
 	}
-	return ends
+	return copies
 }
 
 // targets picks the addresses for a round: members, and seeds while no member
@@ -216,7 +223,7 @@
 	}
 	m.hear(reply.From)
 	m.deps.Clock(reply.From.Host, reply.Now, before.Add(after.Sub(before)/2))
-	m.compare(ctx, target.Address, reply.Ends)
+	m.compare(ctx, reply.From, reply.Copies)
 }
 
 // hear notes a sign of life.
@@ -258,7 +265,7 @@
 
 // silent is the silence from which a peer counts as lost.
 func (m *Mesh) silent() time.Duration {
-	return max(silentAfter, silentRounds*time.Duration(len(m.members))*intervalPerPeer)
+	return max(silentAfter, silentRounds*m.interval())
 }
 
 // Live lists the members that were heard from lately.
@@ -289,10 +296,27 @@
 }
 
 // compare pulls the records of topics in which a peer is ahead.
-func (m *Mesh) compare(ctx context.Context, address string, ends map[string]uint64) {
-	for topic, end := range ends {
+func (m *Mesh) compare(ctx context.Context, from Member, copies map[string]Copy) {
+	now := time.Now()
+	m.mu.Lock()
+	if s := m.members[from.Host]; s != nil {
+		s.readAt = time.Time{}
+		for _, c := range copies {
+			if at := now.Add(-c.ReadAge); s.readAt.IsZero() || at.Before(s.readAt) {
+				s.readAt = at
+			}
+		}
+	}
+	m.mu.Unlock()
+	for topic, c := range copies {
 		table := m.deps.Topics[topic]
-		if table == nil || table.Complete() && table.End() >= end {
+		if table == nil {
+			continue
+		}
+		if table.Complete() && table.SignificantEnd() >= c.End {
+			if table.SignificantEnd() == c.End {
+				table.Confirm(now.Add(-c.Age))
+			}
 			continue
 		}
 		if _, busy := m.pulling.LoadOrStore(topic, true); busy {
@@ -300,15 +324,52 @@
 		}
 		go func() {
 			defer m.pulling.Delete(topic)
-			if err := m.pull(ctx, address, topic, table); err != nil {
+			if err := m.pull(ctx, from.Address, topic, table); err != nil {
 				m.deps.Log.Debug("reading a peer's copy failed", zap.String("topic", topic), zap.Error(err))
 			}
 		}()
 	}
 }
 
+// readFresh is the age of a read up to which a host counts as reading the store.
+const readFresh = 1200 * time.Millisecond
+
+// Reader tells whether this host is the one of its data centre that reads the
+// store: the first by name of those that do.
+func (m *Mesh) Reader() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for _, s := range m.members {
+		if s.DataCentre == m.deps.Self.DataCentre && s.Host < m.deps.Self.Host &&
+			now.Sub(s.heard) <= m.silent() && now.Sub(s.readAt) <= readFresh+m.interval() {
+			return false
+		}
+	}
+	return true
+}
+
+// Interval is the pause between exchanges.
+func (m *Mesh) Interval() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.interval()
+}
+
+func (m *Mesh) interval() time.Duration {
+	return max(interval, time.Duration(len(m.members))*intervalPerPeer)
+}
+
+// Kick starts an exchange at once, so that a change reaches the peers.
+func (m *Mesh) Kick() {
+	select {
+	case m.kick <- struct{}{}:
+	default:
+	}
+}
+
 func (m *Mesh) pull(ctx context.Context, address, topic string, table *mirror.Table) error {
-	args := RecordsArgs{Topic: topic, From: table.End()}
+	args := RecordsArgs{Topic: topic, From: table.SignificantEnd()}
 	if !table.Complete() {
 		args.From = 0
 	}
@@ -360,7 +421,7 @@
 	m := s.mesh
 	reply.From = m.deps.Self
 	reply.Now = m.deps.Now()
-	reply.Ends = m.ends()
+	reply.Copies = m.copies()
 	if message.From.Stopped {
 		m.mu.Lock()
 		delete(m.members, message.From.Host)
@@ -370,7 +431,7 @@
 	}
 	m.Introduce(message.Members)
 	m.deps.Heard(message)
-	m.compare(context.Background(), message.From.Address, message.Ends)
+	m.compare(context.Background(), message.From, message.Copies)
 	return nil
 }
 
--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -17,10 +17,20 @@
 	Host        string
 	Incarnation string
 	Address     string
+	DataCentre  string
 	// Stopped is set in a member's last words.
 	Stopped bool
 }
 
+// Copy tells how far a host's copy of a topic reaches.
+type Copy struct {
+	End uint64
+	// Age is the time since the host knew the copy to be up to date.
+	Age time.Duration
+	// ReadAge is the time since the host itself has read the store.
+	ReadAge time.Duration
+}
+
 // Holding is what a host knows of the holder of the duties.
 type Holding struct {
 	Holder string
@@ -32,8 +42,8 @@
 	From Member
 	// Now is the sender's time of day.
 	Now time.Time
-	// Ends are the ends of the sender's copies by topic.
-	Ends map[string]uint64
+	// Copies are the sender's copies by topic.
+	Copies map[string]Copy
 	// Members are the hosts that the sender hears from.
 	Members []Member
 	Load    placement.Report
@@ -52,9 +62,9 @@
 
 // Reply answers a message.
 type Reply struct {
-	From Member
-	Now  time.Time
-	Ends map[string]uint64
+	From   Member
+	Now    time.Time
+	Copies map[string]Copy
 }
 
 // RecordsArgs asks for a peer's copy of a topic from an offset on.
--- a/pkg/mirror/follower.go
+++ b/pkg/mirror/follower.go
@@ -31,6 +31,8 @@
 	// readTimeout bounds a read beyond the time that it waits. A slow store takes
 	// a quarter of a second.
 	readTimeout = 900 * time.Millisecond
+	// idleInterval is the pause between looks whether the host must read.
+	idleInterval = 150 * time.Millisecond
 )
 
 // Follower keeps a table up to date from the store.
@@ -42,6 +44,9 @@
 	Wait time.Duration
 	// Interval is the pause between reads that do not wait.
 	Interval time.Duration
+	// Idle tells whether peers keep the table up to date, so that this host need
+	// not read. It may be nil.
+	Idle func() bool
 	// Changed takes the records that changed the table, in the goroutine of Run.
 	Changed func(records []Record)
 	// Lost and Back report the loss and return of the store.
@@ -60,6 +65,10 @@
 func (f *Follower) Run(ctx context.Context) {
 	delay := retryDelay
 	for ctx.Err() == nil {
+		if f.Idle != nil && f.Table.Complete() && f.Idle() {
+			f.pause(ctx, idleInterval)
+			continue
+		}
 		err := f.step(ctx)
 		if err == nil {
 			f.found()
@@ -115,6 +124,7 @@
 	if err != nil {
 		return err
 	}
+	f.Table.markRead(time.Now())
 	f.apply(f.Table.Apply(records, end, time.Now()))
 	return nil
 }
@@ -124,6 +134,7 @@
 	if err != nil {
 		return err
 	}
+	f.Table.markRead(time.Now())
 	f.apply(f.Table.Snapshot(records, end, time.Now()))
 	return nil
 }
--- a/pkg/mirror/table.go
+++ b/pkg/mirror/table.go
@@ -30,15 +30,26 @@
 	records map[string]Record
 	removed map[string]time.Time
 	end     uint64
+	// same tells whether two values of a key mean the same; nil compares nothing.
+	same func(old, new []byte) bool
+	// significant is the offset at which each key last changed its meaning.
+	significant map[string]uint64
+	// significantEnd is the offset after the last such change.
+	significantEnd uint64
 	// complete is set once a whole snapshot was taken.
 	complete bool
-	// heard is when the table last learned that it is up to date.
+	// heard is when the table was last known to be up to date.
 	heard time.Time
+	// lastRead is when this host itself has last read the store.
+	lastRead time.Time
 }
 
-// NewTable returns an empty table.
-func NewTable() *Table {
-	return &Table{records: map[string]Record{}, removed: map[string]time.Time{}}
+// NewTable returns an empty table. same tells whether two values of a key mean the
+// same, so that peers need not pass the newer one on; it may be nil.
+func NewTable(same func(old, new []byte) bool) *Table {
+	return &Table{
+		records: map[string]Record{}, removed: map[string]time.Time{}, same: same, significant: map[string]uint64{},
+	}
 }
 
 // End is the offset after the last record that the table has taken.
@@ -62,6 +73,29 @@
 	return t.heard
 }
 
+// LastRead is when this host itself has last read the store.
+func (t *Table) LastRead() time.Time {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.lastRead
+}
+
+// Confirm notes that the table was up to date at a time, by word of a peer.
+func (t *Table) Confirm(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at.After(t.heard) {
+		t.heard = at
+	}
+}
+
+func (t *Table) markRead(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lastRead = at
+	t.heard = at
+}
+
 // Apply takes records in any order and returns those that changed the table. A
 // record that is older than the one held is ignored, so that a key never goes
 // back. end is the offset after the records, or 0 if unknown.
@@ -76,7 +110,6 @@
 		end = max(end, r.Offset+1)
 	}
 	t.end = max(t.end, end)
-	t.heard = now
 	return changed
 }
 
@@ -86,6 +119,11 @@
 		return false
 	}
 	t.records[r.Key] = r
+	if known && !old.Removed() && !r.Removed() && t.same != nil && t.same(old.Value, r.Value) {
+		return false
+	}
+	t.significant[r.Key] = r.Offset
+	t.significantEnd = max(t.significantEnd, r.Offset+1)
 	delete(t.removed, r.Key)
 	if r.Removed() {
 		t.removed[r.Key] = now
@@ -119,16 +157,23 @@
 	}
 	t.end = max(t.end, end)
 	t.complete = true
-	t.heard = now
 	return changed
 }
 
-// Since lists the records from an offset on, for a peer that is behind.
+// SignificantEnd is the offset after the last change of meaning.
+func (t *Table) SignificantEnd() uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.significantEnd
+}
+
+// Since lists the records that changed their meaning at an offset or later, for a
+// peer that is behind.
 func (t *Table) Since(from uint64) (records []Record, end uint64, complete bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	for _, r := range t.records {
-		if r.Offset >= from {
+	for key, r := range t.records {
+		if t.significant[key] >= from {
 			records = append(records, r)
 		}
 	}
@@ -138,7 +183,7 @@
 		}
 		return 1
 	})
-	return records, t.end, t.complete
+	return records, t.significantEnd, t.complete
 }
 
 // Get returns the newest record of a key that was not removed.
@@ -157,6 +202,7 @@
 		if now.Sub(at) > removedKept {
 			delete(t.removed, key)
 			delete(t.records, key)
+			delete(t.significant, key)
 		}
 	}
 }
--- a/pkg/placement/fleet.go
+++ b/pkg/placement/fleet.go
@@ -142,7 +142,9 @@
 	// due is when the reader is expected to end the request's prompt.
 	due   time.Time
 	first bool
-	done  bool
+	// read tells that a prefill call has ended.
+	read bool
+	done bool
 }
 
 // Send registers a request that is about to be sent by a plan.
@@ -193,8 +195,15 @@
 		s.busyUntil = now
 	}
 	s.busyUntil = s.busyUntil.Add(work)
+	if s.busyUntil.After(now.Add(backlogMost)) {
+		s.busyUntil = now.Add(backlogMost)
+	}
 }
 
+// backlogMost bounds the believed work of an engine: callers wait no longer, so
+// that more than this is an error of the belief.
+const backlogMost = 5 * time.Second
+
 // Learning weights. A rate changes by a tenth of what one request shows, so that
 // a dozen requests on idle engines settle it.
 const (
@@ -217,6 +226,7 @@
 func (f *Fleet) Read(t *Ticket, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	t.read = true
 	f.learn(t, now.Sub(t.sentAt), StagePrefill, now)
 }
 
@@ -295,6 +305,7 @@
 		return
 	}
 	t.done = true
+	f.giveBack(t, now)
 	s := f.servers[t.plan.Run.ID]
 	if s == nil {
 		return
@@ -303,6 +314,18 @@
 	s.judge(o, now)
 }
 
+// giveBack takes the work of a request that ended before its prompt was read off
+// its reader.
+func (f *Fleet) giveBack(t *Ticket, now time.Time) {
+	reader := f.servers[t.plan.Reader().ID]
+	if t.first || t.read || reader == nil || reader.Engine == nil {
+		return
+	}
+	left := min(t.plan.work, max(0, t.due.Sub(now)))
+	reader.occupy(-left, now)
+	f.note(Send{Backend: reader.ID, WorkMS: -millis(left)})
+}
+
 // Judge notes how a prefill call ended.
 func (f *Fleet) Judge(id model.BackendID, o Outcome, now time.Time) {
 	f.mu.Lock()
--- a/pkg/truetime/clock.go
+++ b/pkg/truetime/clock.go
@@ -14,8 +14,8 @@
 const (
 	// tolerated is the difference to the peers' median that is left alone: hosts
 	// that agree within it put a request into the same usage window in all but
-	// one in fifty cases.
-	tolerated = 60 * time.Millisecond
+	// three in a hundred cases. A busy host measures no better.
+	tolerated = 150 * time.Millisecond
 	// sampleAge is how long a peer's time is taken into account.
 	sampleAge = 3 * time.Second
 	// quorum is the number of peers' samples from which their median counts.
