Judge outages of the store by all word of it, not by own reads

Ruled out: late word (the other hosts acted 100 ms after the store's acknowledgement, and the exchange with them was whole). The registry now counts an outage from the last word of the store by any way. Test: TestRemovedEntryNamesNoServerAtOnce.

--- a/pkg/edgehost/fleet.go
+++ b/pkg/edgehost/fleet.go
@@ -17,6 +17,9 @@
 const (
 	// planInterval is the pause between plans.
 	planInterval = 600 * time.Millisecond
+	// peakKept is what is left of a peak of running requests after an interval; half
+	// of it is forgotten after ten seconds.
+	peakKept = 0.96
 	// scaleRepeat is the pause before an order for backend servers that had no
 	// effect is given again: servers take some seconds to start.
 	scaleRepeat = 6 * time.Second
@@ -31,6 +34,8 @@
 type orders struct {
 	planned time.Time
 	scaled  map[scaleKey]scaleMemory
+	// peaks are the most requests that ran at the same time lately, by service.
+	peaks map[model.PoolName]float64
 	// switching are the engines under an order, by the time until which it counts.
 	switching map[model.BackendID]switching
 }
@@ -52,7 +57,7 @@
 }
 
 func newOrders() *orders {
-	return &orders{scaled: map[scaleKey]scaleMemory{}, switching: map[model.BackendID]switching{}}
+	return &orders{scaled: map[scaleKey]scaleMemory{}, peaks: map[model.PoolName]float64{}, switching: map[model.BackendID]switching{}}
 }
 
 // planFleet orders backend servers and changes of stage as the holder.
@@ -71,7 +76,10 @@
 		if h.settings.ScaleDuty && service.Scaling != nil {
 			h.scale(ctx, service, engines, fence, now)
 		}
-		for _, change := range h.policy.Stages(engines) {
+		running, _ := h.fleet.Loads(service.Name)
+		peak := max(float64(running), peakKept*h.orders.peaks[service.Name])
+		h.orders.peaks[service.Name] = peak
+		for _, change := range h.policy.Stages(engines, service.Engine.Slots, int(peak)) {
 			h.orderStage(ctx, service, change, fence, now)
 		}
 	}
--- a/pkg/edgehost/host.go
+++ b/pkg/edgehost/host.go
@@ -144,12 +144,10 @@
 		Lost: func(err error) {
 			h.log.Warn("store lost", zap.String("topic", topic), zap.Error(err))
 			h.metrics.storeUp.WithLabelValues(topic).Set(0)
-			h.registry.storeLost()
 		},
 		Back: func() {
 			h.log.Info("store answers", zap.String("topic", topic))
 			h.metrics.storeUp.WithLabelValues(topic).Set(1)
-			h.registry.storeReturned(time.Now())
 		},
 	}
 	h.follower[topic] = f
@@ -178,6 +176,7 @@
 	case TopicConfiguration:
 		h.configure()
 	case TopicBackends:
+		h.registry.hear(h.tables[topic].Heard())
 		h.registry.apply(records, time.Now())
 	}
 }
@@ -492,6 +491,7 @@
 		case now := <-summary.C:
 			h.summarise(now)
 		case now := <-ticker.C:
+			h.registry.hear(h.tables[TopicBackends].Heard())
 			h.registry.sweep(now)
 			h.pool.Sweep(now)
 			for _, t := range h.tables {
--- a/pkg/edgehost/registry.go
+++ b/pkg/edgehost/registry.go
@@ -30,9 +30,11 @@
 
 	mu      sync.Mutex
 	entries map[string]*registered
-	// storeBack is when the store last returned, zero while it is away.
+	// heard is when the store's state was last known, by this host's own reads or by
+	// word of a peer.
+	heard time.Time
+	// storeBack is when that began again after an outage.
 	storeBack time.Time
-	storeAway bool
 }
 
 type registered struct {
@@ -41,21 +43,21 @@
 	lapsed time.Time
 }
 
-// storeLost notes that the store does not answer.
-func (r *registry) storeLost() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.storeAway = true
-}
+// outage is the time without word of the store from which entries may have lapsed
+// for want of heartbeats. It is below three heartbeats, after which they do.
+const outage = 2500 * time.Millisecond
 
-// storeReturned notes that the store answers again.
-func (r *registry) storeReturned(now time.Time) {
+// hear notes that the store's state is known as of a time.
+func (r *registry) hear(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.storeAway {
-		r.storeBack = now
+	if !at.After(r.heard) {
+		return
 	}
-	r.storeAway = false
+	if !r.heard.IsZero() && at.Sub(r.heard) > outage {
+		r.storeBack = at
+	}
+	r.heard = at
 }
 
 // apply takes changed records.
@@ -140,7 +142,7 @@
 	if e == nil {
 		return
 	}
-	if !e.Leaving && (r.storeAway || now.Sub(r.storeBack) < lapseGrace) {
+	if !e.Leaving && now.Sub(r.storeBack) < lapseGrace {
 		e.lapsed = now
 		r.log.Info("backend server's entry lapsed beside an outage of the store", zap.String("backend", key))
 		return
@@ -164,9 +166,6 @@
 func (r *registry) sweep(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.storeAway {
-		return
-	}
 	for key, e := range r.entries {
 		if !e.lapsed.IsZero() && now.Sub(r.storeBack) >= lapseGrace {
 			r.remove(key, "its entry has not come back after the outage of the store")
--- /dev/null
+++ b/pkg/edgehost/registry_test.go
@@ -0,0 +1,118 @@
+package edgehost
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"go.uber.org/zap"
+
+	"github.com/redwingpath/redwingpath/pkg/catalog"
+	"github.com/redwingpath/redwingpath/pkg/duty"
+	"github.com/redwingpath/redwingpath/pkg/mirror"
+	"github.com/redwingpath/redwingpath/pkg/model"
+	"github.com/redwingpath/redwingpath/pkg/placement"
+)
+
+// jsonPlatform decodes registrations from their JSON form.
+type jsonPlatform struct{}
+
+func (jsonPlatform) Newest(context.Context, string) ([]mirror.Record, uint64, error) {
+	return nil, 0, nil
+}
+func (jsonPlatform) Read(context.Context, string, uint64, time.Duration) ([]mirror.Record, uint64, error) {
+	return nil, 0, nil
+}
+func (jsonPlatform) Put(context.Context, string, string, []byte) error             { return nil }
+func (jsonPlatform) DutyLog() duty.Log                                             { return nil }
+func (jsonPlatform) Configuration([]byte) (catalog.Config, error)                  { return catalog.Config{}, nil }
+func (jsonPlatform) ChangeStage(context.Context, string, uint64, StageOrder) error { return nil }
+func (jsonPlatform) Scale(context.Context, string, uint64, ScaleOrder) error       { return nil }
+func (jsonPlatform) AcceptedOrders(context.Context, model.BackendID, string) (uint64, error) {
+	return 0, nil
+}
+func (jsonPlatform) ReportUsage(context.Context, string, uint64, int64, map[model.OrganisationID]int64) error {
+	return nil
+}
+
+func (jsonPlatform) Backend(id string, raw []byte) (Registration, error) {
+	var r Registration
+	err := json.Unmarshal(raw, &r)
+	r.ID = model.BackendID(id)
+	return r, err
+}
+
+var start = time.Unix(1000, 0)
+
+type registryBed struct {
+	*registry
+	offset uint64
+}
+
+func newRegistryBed() *registryBed {
+	return &registryBed{registry: &registry{
+		platform: jsonPlatform{}, fleet: placement.NewFleet(placement.DefaultSettings()), forget: func(string) {},
+		catalog: func() *catalog.Catalog { return nil }, log: zap.NewNop(), bad: func() {}, kick: func() {},
+		entries: map[string]*registered{},
+	}}
+}
+
+func (b *registryBed) put(key string, born int64, leaving bool, at time.Duration) {
+	raw, _ := json.Marshal(Registration{Backend: placement.Backend{Service: "s", Address: "a", Leaving: leaving}, Born: born})
+	b.record(key, raw, at)
+}
+
+func (b *registryBed) record(key string, raw []byte, at time.Duration) {
+	b.offset++
+	b.hear(start.Add(at))
+	b.apply([]mirror.Record{{Key: key, Value: raw, Offset: b.offset}}, start.Add(at))
+}
+
+func TestRemovedEntryNamesNoServerAtOnce(t *testing.T) {
+	b := newRegistryBed()
+	b.put("x", 1, false, 0)
+	assert.True(t, b.fleet.Usable("x"))
+	for at := time.Duration(0); at < 10*time.Second; at += time.Second {
+		// A peer reads the store for this host.
+		b.hear(start.Add(at))
+	}
+	b.record("x", nil, 10*time.Second)
+	assert.False(t, b.fleet.Usable("x"))
+}
+
+func TestEntryThatLapsedInAnOutageOfTheStoreStaysForAWhile(t *testing.T) {
+	b := newRegistryBed()
+	b.put("back", 1, false, 0)
+	b.put("gone", 1, false, 0)
+	b.record("back", nil, 8*time.Second)
+	b.record("gone", nil, 8*time.Second)
+	assert.True(t, b.fleet.Usable("back"))
+	b.put("back", 1, false, 9*time.Second)
+	b.sweep(start.Add(9 * time.Second))
+	assert.True(t, b.fleet.Usable("gone"))
+	b.sweep(start.Add(8*time.Second + lapseGrace))
+	assert.False(t, b.fleet.Usable("gone"))
+	assert.True(t, b.fleet.Usable("back"))
+}
+
+func TestServerThatLeavesDoesNotComeBackInTheSameLife(t *testing.T) {
+	b := newRegistryBed()
+	b.put("x", 5, true, 0)
+	b.put("x", 5, false, time.Second)
+	assert.False(t, b.fleet.Usable("x"))
+	b.put("x", 4, false, time.Second)
+	assert.False(t, b.fleet.Usable("x"), "a word of an earlier life says nothing")
+	b.put("x", 6, false, 2*time.Second)
+	assert.True(t, b.fleet.Usable("x"))
+}
+
+func TestUnusableEntryNamesNoServerAndTheOthersHold(t *testing.T) {
+	b := newRegistryBed()
+	b.put("x", 1, false, 0)
+	b.put("y", 1, false, 0)
+	b.record("x", []byte("{torn"), time.Second)
+	assert.False(t, b.fleet.Usable("x"))
+	assert.True(t, b.fleet.Usable("y"))
+}
--- a/pkg/fleetplan/fleetplan.go
+++ b/pkg/fleetplan/fleetplan.go
@@ -31,6 +31,16 @@
 	// number.
 	DecodeShare float64
 	DecodeLeast int
+	// DecodeMost bounds the part of the engines that decode.
+	DecodeMost float64
+	// Filled is the part of a decode engine's places that may be taken at the peak.
+	Filled float64
+	// Places bounds the places of an engine that count, since steps get slower with
+	// each running request.
+	Places int
+	// Slack is the part of the engines by which there may be more decode engines
+	// than are needed before one changes its stage.
+	Slack float64
 	// Changes bounds the engines that change their stage at the same time, as a
 	// share of all.
 	Changes float64
@@ -38,7 +48,8 @@
 
 // DefaultPolicy returns the defaults.
 func DefaultPolicy() Policy {
-	return Policy{Total: 1, Ordinary: 1.0 / 6, DecodeShare: 0.3, DecodeLeast: 2, Changes: 0.34}
+	return Policy{Total: 1, Ordinary: 1.0 / 6, DecodeShare: 0.3, DecodeLeast: 2, DecodeMost: 0.6,
+		Filled: 0.55, Places: 64, Slack: 0.12, Changes: 0.34}
 }
 
 // Engine is one engine as the planner sees it.
@@ -115,8 +126,21 @@
 	Stage placement.Stage
 }
 
-// Stages plans changes of stage.
-func (p Policy) Stages(engines []Engine) []Change {
+// decoders is the number of decode engines that a number of running requests
+// needs.
+func (p Policy) decoders(n, slots, running int) int {
+	share := int(math.Round(p.DecodeShare * float64(n)))
+	needed := 0
+	if places := min(slots, p.Places); places > 0 {
+		needed = int(math.Ceil(float64(running) / (p.Filled * float64(places))))
+	}
+	most := max(1, int(p.DecodeMost*float64(n)))
+	return max(min(max(share, needed), most), min(p.DecodeLeast, n-1))
+}
+
+// Stages plans changes of stage for engines with a number of places each. running
+// is the most requests that ran at the same time lately.
+func (p Policy) Stages(engines []Engine, slots, running int) []Change {
 	var usable []Engine
 	switching, decoders := 0, 0
 	for _, e := range engines {
@@ -135,11 +159,16 @@
 	if n < 2 {
 		return nil
 	}
-	want := max(int(math.Round(p.DecodeShare*float64(n))), min(p.DecodeLeast, n-1))
+	want := p.decoders(n, slots, running)
 	room := max(1, int(p.Changes*float64(n))) - switching
 	from, to, missing := placement.StageDecode, placement.StagePrefill, decoders-want
-	if decoders < want {
+	switch {
+	case decoders < want:
 		from, to, missing = placement.StagePrefill, placement.StageDecode, want-decoders
+	case running > 0 && missing <= int(p.Slack*float64(n)):
+		// A change takes an engine out of service for seconds; the load may swing
+		// back before it pays.
+		return nil
 	}
 	var changes []Change
 	for _, e := range order(usable, from) {
--- a/pkg/fleetplan/fleetplan_test.go
+++ b/pkg/fleetplan/fleetplan_test.go
@@ -98,27 +98,27 @@
 		list = append(list, engines(dc, 6, true, placement.StageDecode)...)
 	}
 	for range 10 {
-		apply(list, p.Stages(list))
+		apply(list, p.Stages(list, 128, 0))
 	}
 	n, spot := decoders(list)
 	assert.InDelta(t, p.DecodeShare*float64(len(list)), n, 1)
-	assert.Empty(t, p.Stages(list), "a plan that is met asks for no change")
+	assert.Empty(t, p.Stages(list, 128, 0), "a plan that is met asks for no change")
 	assert.Less(t, spot, n)
 }
 
 func TestSomeEnginesDecodeWhateverIsLost(t *testing.T) {
 	p := DefaultPolicy()
 	list := engines("a", 3, true, placement.StagePrefill)
-	changes := p.Stages(list)
+	changes := p.Stages(list, 128, 0)
 	require.NotEmpty(t, changes)
 	assert.Equal(t, placement.StageDecode, changes[0].Stage)
-	assert.Empty(t, p.Stages(engines("a", 1, true, placement.StagePrefill)), "a single engine stays")
+	assert.Empty(t, p.Stages(engines("a", 1, true, placement.StagePrefill), 128, 0), "a single engine stays")
 }
 
 func TestChangesAreBounded(t *testing.T) {
 	p := DefaultPolicy()
 	list := engines("a", 30, true, placement.StageDecode)
-	first := p.Stages(list)
+	first := p.Stages(list, 128, 0)
 	assert.LessOrEqual(t, len(first), int(p.Changes*30))
 	for i := range list {
 		for _, c := range first {
@@ -127,7 +127,7 @@
 			}
 		}
 	}
-	assert.LessOrEqual(t, len(p.Stages(list))+len(first), int(p.Changes*30)+1)
+	assert.LessOrEqual(t, len(p.Stages(list, 128, 0))+len(first), int(p.Changes*30)+1)
 }
 
 func TestLeavingEnginesDoNotCount(t *testing.T) {
@@ -135,6 +135,21 @@
 	for i := range list {
 		list[i].Leaving = true
 	}
-	assert.Empty(t, DefaultPolicy().Stages(list))
+	assert.Empty(t, DefaultPolicy().Stages(list, 128, 0))
 	assert.Equal(t, 12-DefaultPolicy().ordinary(12), desired(DefaultPolicy().Scale(scaling, list), "a", true))
 }
+
+func TestManyRunningRequestsNeedMoreDecodeEngines(t *testing.T) {
+	p := DefaultPolicy()
+	list := append(engines("a", 30, true, placement.StageDecode), engines("a", 70, true, placement.StagePrefill)...)
+	assert.Empty(t, p.Stages(list, 128, 500))
+	changes := p.Stages(list, 24, 700)
+	require.NotEmpty(t, changes)
+	assert.Equal(t, placement.StageDecode, changes[0].Stage)
+	for range 10 {
+		apply(list, p.Stages(list, 24, 700))
+	}
+	n, _ := decoders(list)
+	assert.GreaterOrEqual(t, float64(n)*24*p.Filled, 700.0)
+	assert.Empty(t, p.Stages(list, 24, 650), "a small swing back changes nothing")
+}
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -324,7 +324,7 @@
 		}
 		go func() {
 			defer m.pulling.Delete(topic)
-			if err := m.pull(ctx, from.Address, topic, table); err != nil {
+			if err := m.pull(ctx, from.Address, topic, table, c.Age); err != nil {
 				m.deps.Log.Debug("reading a peer's copy failed", zap.String("topic", topic), zap.Error(err))
 			}
 		}()
@@ -368,7 +368,8 @@
 	}
 }
 
-func (m *Mesh) pull(ctx context.Context, address, topic string, table *mirror.Table) error {
+// pull takes over a peer's copy that was up to date some time ago.
+func (m *Mesh) pull(ctx context.Context, address, topic string, table *mirror.Table, age time.Duration) error {
 	args := RecordsArgs{Topic: topic, From: table.SignificantEnd()}
 	if !table.Complete() {
 		args.From = 0
@@ -387,6 +388,7 @@
 	} else {
 		changed = table.Apply(reply.Records, reply.End, now)
 	}
+	table.Confirm(now.Add(-age))
 	if len(changed) > 0 {
 		m.deps.Changed(topic, changed)
 	}
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -107,7 +107,9 @@
 type Settings struct {
 	// DataCentre is the host's own.
 	DataCentre model.DataCentreID
-	// CrossDataCentre is the round trip to another data centre. Unit: duration.
+	// CrossDataCentre is the cost of a call to another data centre: its round trip,
+	// and the bytes of the request on the links between them. Unit: duration.
+	// Default: 6ms.
 	CrossDataCentre time.Duration
 	// FirstEvent is the time from the end of reading to the first event. Unit:
 	// duration. Default: 60ms.
