--- a/pkg/edgehost/fleet.go
+++ b/pkg/edgehost/fleet.go
@@ -25,6 +25,9 @@
 	scaleRepeat = 6 * time.Second
 	// scaleRefused is the pause after a data centre had none to give.
 	scaleRefused = 2 * time.Second
+	// dryKept is how long a data centre counts as having none to give: longer than
+	// the pause between two tries.
+	dryKept = 2*scaleRefused + planInterval
 	// switchMargin is how long beyond its switch time an engine may take until
 	// its registration shows the new stage.
 	switchMargin = 2500 * time.Millisecond
@@ -34,6 +37,8 @@
 type orders struct {
 	planned time.Time
 	scaled  map[scaleKey]scaleMemory
+	// dry is when each data centre last had no cheap servers to give.
+	dry map[model.DataCentreID]time.Time
 	// peaks are the most requests that ran at the same time lately, by service.
 	peaks map[model.PoolName]float64
 	// switching are the engines under an order, by the time until which it counts.
@@ -57,7 +62,7 @@
 }
 
 func newOrders() *orders {
-	return &orders{scaled: map[scaleKey]scaleMemory{}, peaks: map[model.PoolName]float64{}, switching: map[model.BackendID]switching{}}
+	return &orders{scaled: map[scaleKey]scaleMemory{}, peaks: map[model.PoolName]float64{}, dry: map[model.DataCentreID]time.Time{}, switching: map[model.BackendID]switching{}}
 }
 
 // planFleet orders backend servers and changes of stage as the holder.
@@ -73,12 +78,13 @@
 			continue
 		}
 		engines := h.engines(service.Name, now)
-		if h.settings.ScaleDuty && service.Scaling != nil {
-			h.scale(ctx, service, engines, fence, now)
-		}
 		running, _ := h.fleet.Loads(service.Name)
 		peak := max(float64(running), peakKept*h.orders.peaks[service.Name])
 		h.orders.peaks[service.Name] = peak
+		if h.settings.ScaleDuty && service.Scaling != nil {
+			state := fleetplan.State{Engines: engines, Idle: peak < 1, Dry: h.orders.dryNow(now)}
+			h.scale(ctx, service, state, fence, now)
+		}
 		for _, change := range h.policy.Stages(engines, service.Engine.Slots, int(peak)) {
 			h.orderStage(ctx, service, change, fence, now)
 		}
@@ -107,11 +113,20 @@
 	return list
 }
 
-func (h *Host) scale(ctx context.Context, service *catalog.Service, engines []fleetplan.Engine, fence uint64, now time.Time) {
-	for _, t := range h.policy.Scale(service.Scaling, engines) {
+// dryNow lists the data centres that had no cheap servers to give lately.
+func (o *orders) dryNow(now time.Time) map[model.DataCentreID]bool {
+	dry := map[model.DataCentreID]bool{}
+	for dc, at := range o.dry {
+		dry[dc] = now.Sub(at) < dryKept
+	}
+	return dry
+}
+
+func (h *Host) scale(ctx context.Context, service *catalog.Service, state fleetplan.State, fence uint64, now time.Time) {
+	for _, t := range h.policy.Scale(service.Scaling, state) {
 		key := scaleKey{service.Name, t.DataCentre, t.Spot}
 		have := 0
-		for _, e := range engines {
+		for _, e := range state.Engines {
 			if e.DataCentre == t.DataCentre && e.Spot == t.Spot && !e.Leaving {
 				have++
 			}
@@ -144,6 +159,9 @@
 		h.log.Info("backend servers ordered", fields...)
 	case errors.Is(err, ErrConflict):
 		memory.next = now.Add(scaleRefused)
+		if key.spot {
+			h.orders.dry[key.dataCentre] = now
+		}
 		h.log.Info("backend servers are not to be had, or another holder acts", append(fields, zap.Error(err))...)
 	default:
 		memory.next = now.Add(scaleRefused)
--- a/pkg/fleetplan/fleetplan.go
+++ b/pkg/fleetplan/fleetplan.go
@@ -27,6 +27,9 @@
 	Total float64
 	// Ordinary is the share of those that are ordinary servers.
 	Ordinary float64
+	// Replaced is the part of the planned number that is made up of ordinary servers
+	// where no cheap ones are to be had.
+	Replaced float64
 	// DecodeShare is the part of the engines that decode, DecodeLeast the least
 	// number.
 	DecodeShare float64
@@ -48,7 +51,7 @@
 
 // DefaultPolicy returns the defaults.
 func DefaultPolicy() Policy {
-	return Policy{Total: 1, Ordinary: 1.0 / 6, DecodeShare: 0.3, DecodeLeast: 2, DecodeMost: 0.6,
+	return Policy{Total: 1, Ordinary: 1.0 / 6, Replaced: 0.6, DecodeShare: 0.3, DecodeLeast: 2, DecodeMost: 0.6,
 		Filled: 0.55, Places: 64, Slack: 0.12, Changes: 0.34}
 }
 
@@ -93,9 +96,20 @@
 	return min(max(1, int(math.Round(p.Ordinary*float64(total)))), total)
 }
 
+// State is what a plan for the numbers of servers depends on.
+type State struct {
+	Engines []Engine
+	// Idle tells that no request has run lately.
+	Idle bool
+	// Dry are the data centres that had no cheap servers to give lately.
+	Dry map[model.DataCentreID]bool
+}
+
 // Scale plans the numbers of servers. Ordinary servers are given back only once
-// cheap ones have taken their place.
-func (p Policy) Scale(s *catalog.Scaling, engines []Engine) []Target {
+// cheap ones have taken their place, or while nobody sends requests. Where no
+// cheap ones are to be had, ordinary ones take theirs for a while.
+func (p Policy) Scale(s *catalog.Scaling, state State) []Target {
+	engines := state.Engines
 	var targets []Target
 	centres := make([]model.DataCentreID, 0, len(s.Prices))
 	for dc := range s.Prices {
@@ -109,10 +123,14 @@
 		if s.SpotPrice <= 0 {
 			ordinary, spot = total, 0
 		}
-		// Ordinary servers are kept until half of the planned number is there as
-		// cheap ones, but no more of them are ordered for it.
-		kept := min(count(engines, dc, false), total/2-count(engines, dc, true))
-		ordinary = max(ordinary, kept)
+		if !state.Idle {
+			// No more than there are is kept until half of the planned number is there
+			// as cheap ones.
+			ordinary = max(ordinary, min(count(engines, dc, false), total/2-count(engines, dc, true)))
+		}
+		if state.Dry[dc] {
+			ordinary = max(ordinary, int(p.Replaced*float64(total))-count(engines, dc, true))
+		}
 		targets = append(targets,
 			Target{DataCentre: dc, Spot: true, Desired: min(spot, s.Max-ordinary)},
 			Target{DataCentre: dc, Spot: false, Desired: ordinary})
--- a/pkg/fleetplan/fleetplan_test.go
+++ b/pkg/fleetplan/fleetplan_test.go
@@ -36,11 +36,11 @@
 
 func TestOrdinaryEnginesStayUntilCheapOnesAreThere(t *testing.T) {
 	p := DefaultPolicy()
-	targets := p.Scale(scaling, engines("a", 6, false, placement.StageDecode))
+	targets := p.Scale(scaling, State{Engines: engines("a", 6, false, placement.StageDecode)})
 	assert.Equal(t, 6, desired(targets, "a", false))
 	assert.Equal(t, 6, desired(targets, "a", true), "both prices together stay within the limit")
 	both := append(engines("a", 6, false, placement.StageDecode), engines("a", 6, true, placement.StagePrefill)...)
-	targets = p.Scale(scaling, both)
+	targets = p.Scale(scaling, State{Engines: both})
 	assert.Equal(t, p.ordinary(12), desired(targets, "a", false))
 	assert.Equal(t, 12-p.ordinary(12), desired(targets, "a", true))
 }
@@ -49,7 +49,7 @@
 	for ordinary := range 13 {
 		for spot := range 13 - ordinary {
 			list := append(engines("a", ordinary, false, placement.StageDecode), engines("a", spot, true, placement.StagePrefill)...)
-			targets := DefaultPolicy().Scale(scaling, list)
+			targets := DefaultPolicy().Scale(scaling, State{Engines: list})
 			sum := desired(targets, "a", false) + desired(targets, "a", true)
 			assert.LessOrEqual(t, sum, scaling.Max, "%d ordinary, %d cheap", ordinary, spot)
 			assert.GreaterOrEqual(t, sum, scaling.Min)
@@ -60,7 +60,7 @@
 func TestNoCheapEnginesAreOrderedWhereThereAreNone(t *testing.T) {
 	s := *scaling
 	s.SpotPrice = 0
-	targets := DefaultPolicy().Scale(&s, nil)
+	targets := DefaultPolicy().Scale(&s, State{Engines: nil})
 	assert.Equal(t, 0, desired(targets, "b", true))
 	assert.Equal(t, 12, desired(targets, "b", false))
 }
@@ -136,7 +136,7 @@
 		list[i].Leaving = true
 	}
 	assert.Empty(t, DefaultPolicy().Stages(list, 128, 0))
-	assert.Equal(t, 12-DefaultPolicy().ordinary(12), desired(DefaultPolicy().Scale(scaling, list), "a", true))
+	assert.Equal(t, 12-DefaultPolicy().ordinary(12), desired(DefaultPolicy().Scale(scaling, State{Engines: list}), "a", true))
 }
 
 func TestManyRunningRequestsNeedMoreDecodeEngines(t *testing.T) {
@@ -153,3 +153,20 @@
 	assert.GreaterOrEqual(t, float64(n)*24*p.Filled, 700.0)
 	assert.Empty(t, p.Stages(list, 24, 650), "a small swing back changes nothing")
 }
+
+func TestOrdinaryEnginesReplaceCheapOnesThatAreNotToBeHad(t *testing.T) {
+	p := DefaultPolicy()
+	list := engines("a", 2, false, placement.StageDecode)
+	dry := map[model.DataCentreID]bool{"a": true}
+	targets := p.Scale(scaling, State{Engines: list, Dry: dry})
+	assert.Equal(t, int(p.Replaced*12), desired(targets, "a", false))
+	list = append(list, engines("a", 10, true, placement.StagePrefill)...)
+	targets = p.Scale(scaling, State{Engines: list})
+	assert.Equal(t, 2, desired(targets, "a", false), "they are given back")
+}
+
+func TestIdleFleetIsReplacedAtOnce(t *testing.T) {
+	targets := DefaultPolicy().Scale(scaling, State{Engines: engines("a", 6, false, placement.StageDecode), Idle: true})
+	assert.Equal(t, 2, desired(targets, "a", false))
+	assert.Equal(t, 10, desired(targets, "a", true))
+}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -50,6 +50,9 @@
 		return nil, errLeaving
 	}
 	c.attempts++
+	if c.sentAt.IsZero() {
+		c.sentAt = time.Now()
+	}
 	_ = c.outcome.Apply(atmostonce.EventSend)
 	c.log.Debug("request sent", zap.String("backend", string(b.ID)), zap.String("address", b.Address),
 		zap.Int("attempt", c.attempts), zap.Bool("reused_connection", conn.Reused()), zap.Duration("left", o.Deadline))
@@ -163,7 +166,7 @@
 
 // cause names the cause of a failure for logs and metrics.
 func cause(err error) string {
-	for _, known := range []error{errNotRun, errForeign, errSpoiled, errSilent, errBroken, errServer, errConnect, errLeaving} {
+	for _, known := range []error{errNotRun, errForeign, errSpoiled, errSilent, errBroken, errServer, errConnect, errLeaving, errPrefill} {
 		if errors.Is(err, known) {
 			return known.Error()
 		}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -102,6 +102,10 @@
 	after    string
 	headSent bool
 	firstAt  time.Time
+	// sentAt is when the request was first sent to the server that runs it, readTook
+	// the time of the latest prefill call.
+	sentAt   time.Time
+	readTook time.Duration
 	counted  bool
 	log      *zap.Logger
 	// last is the latest plan, for the log.
@@ -329,7 +333,10 @@
 		fields = append(fields, zap.String("organisation", string(c.org.ID)), zap.Float64("cost", c.cost))
 	}
 	if c.last.Prefill != nil {
-		fields = append(fields, zap.String("prefill", string(c.last.Prefill.ID)))
+		fields = append(fields, zap.String("prefill", string(c.last.Prefill.ID)), zap.Duration("read", c.readTook))
+	}
+	if !c.sentAt.IsZero() {
+		fields = append(fields, zap.Duration("sent", c.sentAt.Sub(c.arrived)))
 	}
 	if c.last.Fetch != nil {
 		fields = append(fields, zap.String("fetched_from", string(c.last.Fetch.ID)))
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -458,6 +458,17 @@
 	assert.Equal(t, 200, r.status)
 }
 
+func TestRefusedPrefillsKeepToTheBudget(t *testing.T) {
+	reader := startBackend(t, "p", status(503, "X-Not-Run: 1\r\n"))
+	runner := startBackend(t, "d", streamFrom(2, true))
+	b := newBed(t, func(s *Settings) { s.RetrySlack, s.RetryRatio = 2, 0 },
+		reader.engine(placement.StagePrefill), runner.engine(placement.StageDecode))
+	for range 6 {
+		b.do(t, "POST", "/once/", "x", map[string]string{"X-Tokens": "20000"})
+	}
+	assert.LessOrEqual(t, len(reader.requests())+len(runner.requests()), 6+2)
+}
+
 func TestEngineThatBeganToLeaveDuringThePrefillIsNotSentTheRequest(t *testing.T) {
 	var b *bed
 	leaving := startBackend(t, "d1", streamFrom(2, true))
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -40,6 +40,10 @@
 		c.place.NoPrefill = true
 		if errors.Is(err, errPrefill) && ctx.Err() == nil {
 			c.place.Exclude = append(c.place.Exclude, plan.Prefill.ID)
+			if !c.g.budgets.take(c.service.Name, time.Now()) {
+				// A call to read the prompt that was not accepted counts like a run.
+				return c.endStream(c.giveUp(err))
+			}
 			continue
 		}
 		if no := c.next(ctx, &plan.Run, err); no != nil {
@@ -267,6 +271,7 @@
 	started := time.Now()
 	handle, err := c.prefillCall(ctx, plan)
 	now := time.Now()
+	c.readTook = now.Sub(started)
 	if err != nil {
 		c.log.Info("prefill failed", zap.String("backend", string(b.ID)), zap.Duration("took", now.Sub(started)), zap.Error(err))
 		c.g.deps.Fleet.Judge(b.ID, c.outcomeOf(ctx, err), now)
--- a/pkg/placement/fleet.go
+++ b/pkg/placement/fleet.go
@@ -37,6 +37,10 @@
 	// running counts own requests, peers those of other hosts.
 	running int
 	peers   map[string]int
+	// unread is the work that own requests have sent and that has not been done,
+	// unreadPeers that of other hosts.
+	unread      time.Duration
+	unreadPeers map[string]time.Duration
 	// failures is a moving share of failed requests.
 	failures float64
 	// suspectUntil keeps a server that went silent out of use.
@@ -61,7 +65,7 @@
 		s = nil
 	}
 	if s == nil {
-		s = &server{peers: map[string]int{}}
+		s = &server{peers: map[string]int{}, unreadPeers: map[string]time.Duration{}}
 		f.servers[b.ID] = s
 		k := f.service(b.Service)
 		k.servers = append(k.servers, s)
@@ -142,7 +146,9 @@
 	// due is when the reader is expected to end the request's prompt.
 	due   time.Time
 	first bool
-	// read tells that a prefill call has ended.
+	// running tells that the request counts at its server.
+	running bool
+	// read tells that the prompt was read.
 	read bool
 	done bool
 }
@@ -152,11 +158,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := &Ticket{plan: p, prompt: r.Parts, sentAt: now}
-	if run := f.servers[p.Run.ID]; run != nil {
-		run.running++
-		if p.Prefill != nil || p.Fetch != nil {
-			run.parts.add(r.Parts)
-		}
+	if run := f.servers[p.Run.ID]; run != nil && p.Prefill == nil {
+		t.run(run)
 	}
 	reader := f.servers[p.Reader().ID]
 	if reader == nil {
@@ -164,6 +167,7 @@
 	}
 	t.idle = !reader.busyUntil.After(now)
 	reader.occupy(p.work, now)
+	reader.unread += p.work
 	t.due = reader.busyUntil
 	reader.parts.add(r.Parts)
 	if reader.Engine != nil {
@@ -180,14 +184,12 @@
 	return parts[:len(parts)-1]
 }
 
-// move counts a request at another server.
-func (t *Ticket) move(f *Fleet, to *server) {
-	if old := f.servers[t.plan.Run.ID]; old != nil {
-		old.running--
-	}
-	to.running++
-	to.parts.add(t.prompt)
-	t.plan.Run = to.Backend
+// run counts a request at the server that runs it, from when it is sent there.
+func (t *Ticket) run(s *server) {
+	s.running++
+	s.parts.add(t.prompt)
+	t.plan.Run = s.Backend
+	t.running = true
 }
 
 func (s *server) occupy(work time.Duration, now time.Time) {
@@ -226,10 +228,21 @@
 func (f *Fleet) Read(t *Ticket, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t.read = true
+	f.hasRead(t)
 	f.learn(t, now.Sub(t.sentAt), StagePrefill, now)
 }
 
+// hasRead notes that a request's prompt was read, or will not be.
+func (f *Fleet) hasRead(t *Ticket) {
+	if t.read {
+		return
+	}
+	t.read = true
+	if reader := f.servers[t.plan.Reader().ID]; reader != nil {
+		reader.unread = max(0, reader.unread-t.plan.work)
+	}
+}
+
 // FirstEvent notes the first event of a request.
 func (f *Fleet) FirstEvent(t *Ticket, now time.Time) {
 	f.mu.Lock()
@@ -238,6 +251,9 @@
 		return
 	}
 	t.first = true
+	if t.plan.Prefill == nil {
+		f.hasRead(t)
+	}
 	if t.plan.Prefill == nil && t.plan.Run.Stage == StageDecode {
 		k := f.services[t.plan.Run.Service]
 		if k != nil {
@@ -310,7 +326,9 @@
 	if s == nil {
 		return
 	}
-	s.running--
+	if t.running {
+		s.running--
+	}
 	s.judge(o, now)
 }
 
@@ -321,6 +339,7 @@
 	if t.first || t.read || reader == nil || reader.Engine == nil {
 		return
 	}
+	f.hasRead(t)
 	left := min(t.plan.work, max(0, t.due.Sub(now)))
 	reader.occupy(-left, now)
 	f.note(Send{Backend: reader.ID, WorkMS: -millis(left)})
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -89,11 +89,20 @@
 	d.offer(Plan{Run: s.Backend, Predicted: wait + plainWork, Waiting: wait}, cost)
 }
 
-// wait is the time until an engine has ended the work ahead.
+// wait is the time until an engine has ended the work ahead: by what was sent, or
+// by what was not done yet where the engine is later than expected.
 func (d *decision) wait(s *server) time.Duration {
-	return max(0, s.busyUntil.Sub(d.now))
+	unread := s.unread
+	for _, w := range s.unreadPeers {
+		unread += w
+	}
+	return max(0, s.busyUntil.Sub(d.now), unread/unreadDone)
 }
 
+// unreadDone is the inverse of the part of unread work that is still to be done on
+// average: what is being read is half done.
+const unreadDone = 2
+
 // homeEngine is the engine on which all hosts expect a prompt that nobody has
 // told of. Without it, hosts would fill the caches of several engines with the
 // same part before they learn of each other's choices.
@@ -305,7 +314,7 @@
 	if best == nil {
 		return Backend{}, false
 	}
-	t.move(f, best)
+	t.run(best)
 	return best.Backend, true
 }
 
--- a/pkg/placement/report.go
+++ b/pkg/placement/report.go
@@ -20,6 +20,8 @@
 	Sends []Send
 	// Running counts the host's requests by server.
 	Running map[model.BackendID]int
+	// UnreadMS is the host's work that engines have not done. Unit: milliseconds.
+	UnreadMS map[model.BackendID]float64
 }
 
 // sendsMost bounds the sends that wait for a report.
@@ -35,12 +37,15 @@
 func (f *Fleet) Report() Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r := Report{Sends: f.sends, Running: map[model.BackendID]int{}}
+	r := Report{Sends: f.sends, Running: map[model.BackendID]int{}, UnreadMS: map[model.BackendID]float64{}}
 	f.sends = nil
 	for id, s := range f.servers {
 		if s.running > 0 {
 			r.Running[id] = s.running
 		}
+		if s.unread > 0 && s.Engine != nil {
+			r.UnreadMS[id] = millis(s.unread)
+		}
 	}
 	return r
 }
@@ -61,6 +66,11 @@
 		} else {
 			delete(s.peers, peer)
 		}
+		if ms := r.UnreadMS[id]; ms > 0 {
+			s.unreadPeers[peer] = fromMillis(ms)
+		} else {
+			delete(s.unreadPeers, peer)
+		}
 	}
 }
 
@@ -70,5 +80,6 @@
 	defer f.mu.Unlock()
 	for _, s := range f.servers {
 		delete(s.peers, peer)
+		delete(s.unreadPeers, peer)
 	}
 }
