Explain a request or a span of time from log files

redwingctl why prints a request's story over all hosts from a directory of logs, and the decisions and lost dependencies of a span. Adds a test that plays the swinging load at eight hosts and checks what callers get against plain affinity and exact least-queued placement.

--- a/cmd/redwingctl/main.go
+++ b/cmd/redwingctl/main.go
@@ -68,6 +68,7 @@
 		explainCommand(std),
 		dumpCommand(std),
 		statusCommand(std),
+		whyCommand(std),
 		keygenCommand(std),
 	}
 	err := root.Parse(args)
--- a/pkg/duty/duty.go
+++ b/pkg/duty/duty.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/redwingpath/redwingpath/pkg/model"
+	"github.com/redwingpath/redwingpath/pkg/usagewindow"
 )
 
 // ErrConflict means that the log does not end where an append expected it.
@@ -43,6 +44,9 @@
 	KindClaim Kind = "claim"
 	// KindAlive shows that a holder lives that its peers may not hear.
 	KindAlive Kind = "alive"
+	// KindCounts keeps the counts of usage windows that have not been reported, in
+	// case all hosts are lost.
+	KindCounts Kind = "counts"
 	// KindUsage fixes the figures of a usage window.
 	KindUsage Kind = "usage"
 )
@@ -55,6 +59,7 @@
 	Incarnation string                         `json:"incarnation"`
 	Window      int64                          `json:"window,omitempty"`
 	Counts      map[model.OrganisationID]int64 `json:"counts"`
+	Deposits    []usagewindow.Deposit          `json:"deposits,omitempty"`
 }
 
 // Timing of claims. A holder that died is replaced within 5 s, half of the time
@@ -94,6 +99,7 @@
 	fence             uint64
 	claims            int
 	usage             map[int64]Record
+	deposits          []usagewindow.Deposit
 	// heard is when the holder was last heard of.
 	heard time.Time
 	// quiet is the end of the log since quietSince, while a claim is considered.
@@ -278,6 +284,8 @@
 			k.fence = offset + 1
 			k.resigned = false
 		}
+	case KindCounts:
+		k.deposits = append(k.deposits, r.Deposits...)
 	case KindUsage:
 		if _, known := k.usage[r.Window]; !known {
 			k.usage[r.Window] = r
@@ -343,6 +351,20 @@
 	return r.Counts, nil
 }
 
+// Deposit keeps counts of usage windows in the log.
+func (k *Keeper) Deposit(ctx context.Context, list []usagewindow.Deposit) error {
+	return k.write(ctx, Record{Kind: KindCounts, Deposits: list})
+}
+
+// Deposits returns the deposits that were read since the last call.
+func (k *Keeper) Deposits() []usagewindow.Deposit {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	list := k.deposits
+	k.deposits = nil
+	return list
+}
+
 func (k *Keeper) fixed(window int64) (Record, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/pkg/edgehost/duties.go
+++ b/pkg/edgehost/duties.go
@@ -72,7 +72,9 @@
 		return
 	}
 	if h.settings.UsageDuty {
+		h.usage.Restore(h.self.Host, h.self.Incarnation, h.duties.Deposits())
 		h.reportUsage(ctx, fence)
+		h.depositCounts(ctx, now)
 	}
 	h.planFleet(ctx, fence, now)
 	list := h.switchingNow()
@@ -102,6 +104,30 @@
 	}
 }
 
+// depositInterval is the pause between deposits of counts. What was counted since
+// the last one is lost with all hosts: three in ten of a window.
+const depositInterval = 1500 * time.Millisecond
+
+// depositCounts keeps the counts of the windows that were not reported in the log
+// of the duties.
+func (h *Host) depositCounts(ctx context.Context, now time.Time) {
+	if now.Sub(h.deposited) < depositInterval {
+		return
+	}
+	h.deposited = now
+	window := h.usage.Window(h.clock.Now())
+	for !h.reported[window-1] && window > h.usage.Window(h.clock.Now())-extraWindows {
+		window--
+	}
+	list := h.usage.Deposits(h.self.Host, h.self.Incarnation, window)
+	if len(list) == 0 {
+		return
+	}
+	if err := h.duties.Deposit(ctx, list); err != nil {
+		h.log.Info("the counts of usage windows were not deposited", zap.Error(err))
+	}
+}
+
 // ripe tells whether a window can be reported.
 func (h *Host) ripe(window int64, now time.Time) bool {
 	end := h.usage.End(window)
--- a/pkg/edgehost/host.go
+++ b/pkg/edgehost/host.go
@@ -67,8 +67,10 @@
 	// configMu keeps configurations from being applied out of order.
 	configMu sync.Mutex
 	reported map[int64]bool
-	orders   *orders
-	policy   fleetplan.Policy
+	// deposited is when the counts were last kept in the log.
+	deposited time.Time
+	orders    *orders
+	policy    fleetplan.Policy
 }
 
 // New assembles a host.
@@ -91,6 +93,7 @@
 	h.usage = usagewindow.New(s.UsageWindow, h.clock.Now)
 	placing := placement.DefaultSettings()
 	placing.DataCentre = s.DataCentre
+	placing.Seed = rand.Uint64()
 	h.fleet = placement.NewFleet(placing)
 	h.registry = &registry{
 		platform: p, fleet: h.fleet, catalog: h.catalog.Load, log: log, entries: map[string]*registered{},
@@ -232,11 +235,13 @@
 			h.log.Warn("peer lost", zap.String("peer", host))
 			h.fleet.Forget(host)
 			h.shareSlack()
+			h.setSample()
 		},
 		Back: func(host string) {
 			h.log.Info("peer heard", zap.String("peer", host))
 			h.quota.Peer(host, time.Now())
 			h.shareSlack()
+			h.setSample()
 		},
 		Log: h.log,
 	}, h.settings.Peers)
@@ -275,6 +280,21 @@
 	h.quota.Hear(host, m.From.Incarnation, m.Admitted, now)
 }
 
+// Engines considered at random where many hosts decide on old reports.
+const (
+	sampleHosts = 16
+	sampleSize  = 10
+)
+
+// setSample bounds the engines that a decision considers.
+func (h *Host) setSample() {
+	sample := 0
+	if h.mesh.Known() >= sampleHosts {
+		sample = sampleSize
+	}
+	h.fleet.SetSample(sample)
+}
+
 // shareSlack gives this host its part of the slack of resends. The part is for
 // the largest number of hosts that may be alive.
 func (h *Host) shareSlack() {
--- /dev/null
+++ b/pkg/logstory/logstory_test.go
@@ -0,0 +1,50 @@
+package logstory
+
+import (
+	"strings"
+	"testing"
+	"testing/fstest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var files = fstest.MapFS{
+	"a.log": {Data: []byte(`{"level":"info","time":"2026-01-01T10:00:00Z","msg":"host starts","host":"a"}
+{"level":"info","time":"2026-01-01T10:00:01Z","msg":"backend server seen","backend":"b1"}
+{"level":"info","time":"2026-01-01T10:00:03Z","msg":"attempt failed","request":"r1","backend":"b1","error":"reset"}
+not json
+{"level":"warn","time":"2026-01-01T10:00:04Z","msg":"request not served","request":"r1","status":502,"backend":"b1"}
+{"level":"info","time":"2026-01-01T10:00:09Z","msg":"backend server gone","backend":"b1"}
+`)},
+	"b.log": {Data: []byte(`12.3 host-b {"level":"info","time":"2026-01-01T10:00:02Z","msg":"request finished","request":"r2"}
+12.4 host-b {"level":"warn","time":"2026-01-01T10:00:05Z","msg":"store lost","topic":"backends"}
+`)},
+}
+
+func TestStoryOfARequestIsInOrder(t *testing.T) {
+	lines, skipped, err := ReadAll(files)
+	require.NoError(t, err)
+	assert.Equal(t, 1, skipped)
+	story := Request(lines, "r1")
+	require.Len(t, story, 2)
+	assert.Equal(t, "attempt failed", story[0].Message)
+	assert.Equal(t, "a", story[0].Host)
+	around := Around(lines, story)
+	require.Len(t, around, 1, "what came after the end says nothing")
+	assert.Equal(t, "backend server seen", around[0].Message)
+	assert.Empty(t, Around(lines, nil))
+}
+
+func TestSpanHoldsDecisionsAndDependencies(t *testing.T) {
+	lines, _, err := ReadAll(files)
+	require.NoError(t, err)
+	at := func(s int) time.Time { return time.Date(2026, 1, 1, 10, 0, s, 0, time.UTC) }
+	span := Span(lines, at(2), at(6))
+	require.Len(t, span, 1)
+	assert.Equal(t, "host-b", span[0].Host)
+	var out strings.Builder
+	require.NoError(t, Write(&out, span))
+	assert.Equal(t, "10:00:05.000 host-b               store lost topic=backends\n", out.String())
+}
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -24,9 +24,9 @@
 const (
 	// interval is the pause between exchanges of a small deployment.
 	interval = 200 * time.Millisecond
-	// intervalPerPeer keeps a host at no more than 100 messages a second however
+	// intervalPerPeer keeps a host at no more than 140 messages a second however
 	// many hosts there are.
-	intervalPerPeer = 10 * time.Millisecond
+	intervalPerPeer = 7 * time.Millisecond
 	// membersEvery is the number of rounds between those that introduce members.
 	membersEvery = 16
 	// silentAfter is the silence from which a peer counts as lost.
--- /dev/null
+++ b/pkg/placement/load_test.go
@@ -0,0 +1,299 @@
+package placement
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/redwingpath/redwingpath/pkg/model"
+)
+
+// The load: dossiers whose first part is shared by some of 500, histories and
+// short questions, in a mix that swings every 2.8 s, over eight hosts that
+// exchange reports each 200 ms. The engines read first come, first served.
+
+type loadRequest struct {
+	at     time.Duration
+	parts  []Part
+	prompt int
+	aim    time.Duration
+	kind   int
+}
+
+func lognormal(r *rand.Rand, mean, spread, most float64) int {
+	s := math.Sqrt(math.Log(1 + spread*spread))
+	v := math.Exp(math.Log(mean) - s*s/2 + s*r.NormFloat64())
+	return int(min(max(v, 16), most))
+}
+
+// swingingLoad draws a load of a length. scale multiplies its rates.
+func swingingLoad(seed uint64, length time.Duration, scale float64) []loadRequest {
+	r := rand.New(rand.NewPCG(seed, 3))
+	sizes := map[uint64]int{}
+	part := func(id uint64, mean, spread, most float64) Part {
+		if sizes[id] == 0 {
+			sizes[id] = lognormal(r, mean, spread, most)
+		}
+		return Part{ID: id, Tokens: sizes[id]}
+	}
+	var list []loadRequest
+	own := uint64(1 << 40)
+	for at := time.Duration(0); at < length; {
+		swing := 1.0
+		if int(at/(2800*time.Millisecond))%2 == 1 {
+			swing = 1.8
+		}
+		rates := []float64{81 * scale, 60 * scale * swing, 87 * scale * (2.4 - swing)}
+		total := rates[0] + rates[1] + rates[2]
+		at += time.Duration(r.ExpFloat64() / total * float64(time.Second))
+		own++
+		q := loadRequest{at: at}
+		switch u := r.Float64() * total; {
+		case u < rates[0]:
+			q.kind, q.aim = 0, 400*time.Millisecond
+			q.parts = []Part{part(1000+uint64(r.IntN(551)), 13300, 0.7, 39900), {own, lognormal(r, 3720, 1.1, 53200)}}
+		case u < rates[0]+rates[1]:
+			q.kind, q.aim = 1, 600*time.Millisecond
+			q.parts = []Part{part(uint64(r.IntN(4)), 2520, 0.4, 6290), part(5000+uint64(r.IntN(411)), 3780, 0.7, 11300), {own, lognormal(r, 2890, 1, 39600)}}
+		default:
+			q.kind, q.aim = 2, 800*time.Millisecond
+			q.parts = []Part{part(100+uint64(r.IntN(20)), 210, 0.4, 524), part(8000+uint64(r.IntN(593)), 140, 0.7, 419), {own, lognormal(r, 1110, 1, 3790)}}
+		}
+		for _, p := range q.parts {
+			q.prompt += p.Tokens
+		}
+		list = append(list, q)
+	}
+	return list
+}
+
+// trueEngine is an engine as it really is.
+type trueEngine struct {
+	backend Backend
+	free    time.Duration
+	cache   partCache
+}
+
+const (
+	trueDecodeRate  = 32.0
+	truePrefillRate = 95.0
+)
+
+func (e *trueEngine) rate() float64 {
+	if e.backend.Stage == StagePrefill {
+		return truePrefillRate
+	}
+	return trueDecodeRate
+}
+
+// read reads a prompt and returns when it has ended. kept is what was fetched.
+func (e *trueEngine) read(at time.Duration, parts []Part, prompt, kept int) time.Duration {
+	cached := max(kept, e.cache.prefix(parts))
+	work := fromMillis(float64(prompt-min(cached, prompt)) / e.rate())
+	e.free = max(e.free, at) + work
+	e.cache.add(parts)
+	return e.free
+}
+
+func newEngines(prefillers, decoders int) map[model.BackendID]*trueEngine {
+	engines := map[model.BackendID]*trueEngine{}
+	for i := range prefillers + decoders {
+		stage := StageDecode
+		if i < prefillers {
+			stage = StagePrefill
+		}
+		id := model.BackendID(fmt.Sprintf("e%02d", i))
+		e := &trueEngine{backend: Backend{
+			ID: id, Service: "m", Address: string(id), DataCentre: model.DataCentreID(fmt.Sprint("z", i%3)), Stage: stage, Slots: 128,
+			Engine: &EngineTraits{CacheTokens: 1182127, TransferTokensPerMS: 3700},
+		}}
+		e.cache.limit = 1100000
+		engines[id] = e
+	}
+	return engines
+}
+
+// outcomeOfLoad is what callers got.
+type outcomeOfLoad struct {
+	inTime [3]float64
+	all    float64
+}
+
+// event is something that a host learns at a time.
+type event struct {
+	at time.Duration
+	do func(now time.Time)
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+var epoch = time.Unix(1000, 0)
+
+// playFleets plays a load at hosts that place by Fleet, exchange reports at an
+// interval and consider a sample of the engines.
+func playFleets(load []loadRequest, engines map[model.BackendID]*trueEngine, hosts int, interval time.Duration, sample int) outcomeOfLoad {
+	fleets := make([]*Fleet, hosts)
+	for i := range fleets {
+		s := DefaultSettings()
+		s.DataCentre = model.DataCentreID(fmt.Sprint("z", i%3))
+		s.Seed = uint64(i)
+		fleets[i] = NewFleet(s)
+		fleets[i].SetSample(sample)
+		for _, e := range engines {
+			fleets[i].Update(e.backend)
+		}
+	}
+	var queue events
+	r := rand.New(rand.NewPCG(9, 9))
+	first := make([]time.Duration, len(load))
+	var exchange func(i int) func(time.Time)
+	exchange = func(i int) func(time.Time) {
+		return func(now time.Time) {
+			report := fleets[i].Report()
+			for j, f := range fleets {
+				if i != j {
+					f.Hear(fmt.Sprint("h", i), report, now)
+				}
+			}
+			heap.Push(&queue, event{now.Sub(epoch) + interval, exchange(i)})
+		}
+	}
+	for i := range fleets {
+		heap.Push(&queue, event{interval * time.Duration(i) / time.Duration(hosts), exchange(i)})
+	}
+	for n, q := range load {
+		for queue.Len() > 0 && queue[0].at <= q.at {
+			e := heap.Pop(&queue).(event)
+			e.do(epoch.Add(e.at))
+		}
+		f := fleets[r.IntN(hosts)]
+		now := epoch.Add(q.at)
+		request := &Request{Service: "m", Parts: q.parts, PromptTokens: q.prompt}
+		plan, ok := f.Place(request, now)
+		if !ok {
+			continue
+		}
+		ticket := f.Send(plan, request, now)
+		kept, at := 0, q.at
+		if plan.Fetch != nil {
+			kept = engines[plan.Fetch.ID].cache.prefix(shared(q.parts))
+			at += 8 * time.Millisecond
+		}
+		reader := engines[plan.Reader().ID]
+		done := reader.read(at, q.parts, q.prompt, kept)
+		if plan.Prefill != nil {
+			heap.Push(&queue, event{done, func(now time.Time) {
+				f.Read(ticket, now)
+				f.Continue(ticket, request, now)
+			}})
+			done += 14 * time.Millisecond
+		}
+		done += 60 * time.Millisecond
+		heap.Push(&queue, event{done, func(now time.Time) { f.FirstEvent(ticket, now) }})
+		heap.Push(&queue, event{done + 500*time.Millisecond, func(now time.Time) { f.Done(ticket, Served, now) }})
+		first[n] = done - q.at
+	}
+	return judgeLoad(load, first)
+}
+
+// playAffinity is the baseline: every prompt goes to the home of its shared parts
+// among decode engines that read by themselves.
+func playAffinity(load []loadRequest, engines map[model.BackendID]*trueEngine) outcomeOfLoad {
+	var servers []*server
+	for _, e := range engines {
+		servers = append(servers, &server{Backend: e.backend})
+	}
+	first := make([]time.Duration, len(load))
+	for n, q := range load {
+		e := engines[homeEngine(q.parts, servers).ID]
+		first[n] = e.read(q.at, q.parts, q.prompt, 0) + 60*time.Millisecond - q.at
+	}
+	return judgeLoad(load, first)
+}
+
+// playLeastQueued is the baseline that knows all queues exactly, but no caches.
+func playLeastQueued(load []loadRequest, engines map[model.BackendID]*trueEngine) outcomeOfLoad {
+	first := make([]time.Duration, len(load))
+	for n, q := range load {
+		var best *trueEngine
+		for _, e := range engines {
+			if best == nil || e.free < best.free {
+				best = e
+			}
+		}
+		first[n] = best.read(q.at, q.parts, q.prompt, 0) + 60*time.Millisecond - q.at
+	}
+	return judgeLoad(load, first)
+}
+
+func judgeLoad(load []loadRequest, first []time.Duration) outcomeOfLoad {
+	var n, in [3]float64
+	for i, q := range load {
+		if q.at < 3*time.Second {
+			continue
+		}
+		n[q.kind]++
+		if first[i] > 0 && first[i] <= q.aim {
+			in[q.kind]++
+		}
+	}
+	var o outcomeOfLoad
+	for k := range n {
+		o.inTime[k] = in[k] / n[k]
+		o.all += in[k]
+	}
+	o.all /= n[0] + n[1] + n[2]
+	return o
+}
+
+func TestSwingingLoadIsServedInTime(t *testing.T) {
+	for seed := range uint64(3) {
+		load := swingingLoad(seed, 20*time.Second, 1)
+		ours := playFleets(load, newEngines(24, 10), 8, 200*time.Millisecond, 0)
+		affinity := playAffinity(load, newEngines(0, 34))
+		least := playLeastQueued(load, newEngines(0, 34))
+		t.Logf("seed %d: placed %.3f, affinity %.3f, least queued %.3f", seed, ours, affinity, least)
+		assert.Greater(t, ours.all, 0.9)
+		assert.Greater(t, ours.all, affinity.all+0.05)
+		assert.Greater(t, ours.all, least.all+0.05)
+		for kind, share := range ours.inTime {
+			assert.Greater(t, share, 0.75, "kind %d", kind)
+		}
+	}
+}
+
+func TestOverloadAfterTheLossOfADataCentreStarvesNoKind(t *testing.T) {
+	load := swingingLoad(7, 20*time.Second, 1.1)
+	ours := playFleets(load, newEngines(18, 7), 8, 200*time.Millisecond, 0)
+	affinity := playAffinity(load, newEngines(0, 25))
+	t.Logf("placed %.3f, affinity %.3f", ours, affinity)
+	assert.Greater(t, ours.all, affinity.all)
+	for kind, share := range ours.inTime {
+		assert.Greater(t, share, 0.25*ours.all, "kind %d", kind)
+	}
+}
+
+func TestManyHostsWithOldReportsDoNotAllChooseTheSameEngine(t *testing.T) {
+	load := swingingLoad(11, 10*time.Second, 3)
+	all := playFleets(load, newEngines(72, 30), 64, 600*time.Millisecond, 0)
+	some := playFleets(load, newEngines(72, 30), 64, 600*time.Millisecond, 10)
+	t.Logf("all considered %.3f, some %.3f", all, some)
+	assert.Greater(t, some.all, all.all+0.05)
+	assert.Greater(t, some.all, 0.85)
+}
--- a/pkg/usagewindow/usagewindow.go
+++ b/pkg/usagewindow/usagewindow.go
@@ -3,6 +3,7 @@
 package usagewindow
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -145,3 +146,55 @@
 	}
 	return sum
 }
+
+// Deposit is what one process counted in one window.
+type Deposit struct {
+	Host        string                         `json:"host"`
+	Incarnation string                         `json:"incarnation"`
+	Window      int64                          `json:"window"`
+	Counts      map[model.OrganisationID]int64 `json:"counts"`
+}
+
+// Deposits lists the counts of all processes from a window on. host and
+// incarnation name this process.
+func (c *Counter) Deposits(host, incarnation string, from int64) []Deposit {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []Deposit
+	add := func(s source, counts map[int64]map[model.OrganisationID]int64) {
+		for window, orgs := range counts {
+			if window >= from && len(orgs) > 0 {
+				list = append(list, Deposit{s.host, s.incarnation, window, maps.Clone(orgs)})
+			}
+		}
+	}
+	add(source{host, incarnation}, c.counts)
+	for s, p := range c.peers {
+		add(s, p.counts)
+	}
+	return list
+}
+
+// Restore takes deposits of processes that may have ended since. host and
+// incarnation name this process, whose own counts are known better.
+func (c *Counter) Restore(host, incarnation string, list []Deposit) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, d := range list {
+		from := source{d.Host, d.Incarnation}
+		if from == (source{host, incarnation}) {
+			continue
+		}
+		p := c.peers[from]
+		if p == nil {
+			p = &peerCounts{counts: map[int64]map[model.OrganisationID]int64{}}
+			c.peers[from] = p
+		}
+		if p.counts[d.Window] == nil {
+			p.counts[d.Window] = map[model.OrganisationID]int64{}
+		}
+		for org, n := range d.Counts {
+			p.counts[d.Window][org] = max(n, p.counts[d.Window][org])
+		}
+	}
+}
--- a/pkg/usagewindow/usagewindow_test.go
+++ b/pkg/usagewindow/usagewindow_test.go
@@ -49,3 +49,20 @@
 	assert.Empty(t, c.Sum(200))
 	assert.Len(t, c.Lines(), 1)
 }
+
+func TestCountsSurviveTheLossOfAllProcesses(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	holder := New(5*time.Second, clock)
+	holder.Began("o")
+	holder.Hear("b", "1", []Line{{200, "o", 4}}, now)
+	deposits := holder.Deposits("a", "1", 199)
+	next := New(5*time.Second, clock)
+	next.Began("o")
+	next.Restore("a", "2", deposits)
+	assert.Equal(t, int64(6), next.Sum(200)["o"])
+	next.Restore("a", "2", deposits)
+	assert.Equal(t, int64(6), next.Sum(200)["o"], "a deposit counts once")
+	next.Hear("b", "1", []Line{{200, "o", 5}}, now)
+	assert.Equal(t, int64(7), next.Sum(200)["o"], "later word of a process that lives goes first")
+}
