--- a/pkg/edgehost/host.go
+++ b/pkg/edgehost/host.go
@@ -97,7 +97,6 @@
 	h.usage = usagewindow.New(s.UsageWindow, h.clock.Now)
 	placing := placement.DefaultSettings()
 	placing.DataCentre = s.DataCentre
-	placing.Seed = rand.Uint64()
 	h.fleet = placement.NewFleet(placing)
 	h.registry = &registry{
 		platform: p, fleet: h.fleet, catalog: h.catalog.Load, log: log, entries: map[string]*registered{},
@@ -239,13 +238,11 @@
 			h.log.Warn("peer lost", zap.String("peer", host))
 			h.fleet.Forget(host)
 			h.shareSlack()
-			h.setSample()
 		},
 		Back: func(host string) {
 			h.log.Info("peer heard", zap.String("peer", host))
 			h.quota.Peer(host, time.Now())
 			h.shareSlack()
-			h.setSample()
 		},
 		Log: h.log,
 	}, h.settings.Peers)
@@ -284,21 +281,6 @@
 	h.quota.Hear(host, m.From.Incarnation, m.Admitted, now)
 }
 
-// Engines considered at random where many hosts decide on old reports.
-const (
-	sampleHosts = 16
-	sampleSize  = 10
-)
-
-// setSample bounds the engines that a decision considers.
-func (h *Host) setSample() {
-	sample := 0
-	if h.mesh.Known() >= sampleHosts {
-		sample = sampleSize
-	}
-	h.fleet.SetSample(sample)
-}
-
 // shareSlack gives this host its part of the slack of resends. The part is for
 // the largest number of hosts that may be alive.
 func (h *Host) shareSlack() {
--- a/pkg/mirror/follower.go
+++ b/pkg/mirror/follower.go
@@ -55,7 +55,6 @@
 	Log  *zap.Logger
 
 	reachable atomic.Bool
-	lostSince time.Time
 }
 
 // Reachable tells whether the last read of the store succeeded.
--- a/pkg/placement/fleet.go
+++ b/pkg/placement/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -18,9 +17,6 @@
 	services map[model.PoolName]*service
 	// sends are the own sends since the last report.
 	sends []Send
-	// sample bounds the engines of a stage that are considered at random, 0 for all.
-	sample int
-	random *rand.Rand
 }
 
 // service is what is learned of all servers of a service.
@@ -56,47 +52,9 @@
 
 // NewFleet returns an empty fleet.
 func NewFleet(s Settings) *Fleet {
-	return &Fleet{settings: s, servers: map[model.BackendID]*server{}, services: map[model.PoolName]*service{},
-		random: rand.New(rand.NewPCG(s.Seed, 0x9e3779b97f4a7c15))}
+	return &Fleet{settings: s, servers: map[model.BackendID]*server{}, services: map[model.PoolName]*service{}}
 }
 
-// SetSample bounds the engines of a stage that a decision considers at random
-// besides those that keep parts of the prompt; 0 means all. Many hosts that see
-// the same old reports would all choose the same engine.
-func (f *Fleet) SetSample(n int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.sample = n
-}
-
-// sampled keeps the engines that hold most of a prompt, its home, and some others
-// drawn at random.
-func (f *Fleet) sampled(servers []*server, r *Request) []*server {
-	if f.sample <= 0 || len(servers) <= f.sample+holdersKept+1 {
-		return servers
-	}
-	kept := []*server{}
-	if home := homeEngine(r.Parts, servers); home != nil {
-		kept = append(kept, home)
-	}
-	offset := f.random.IntN(len(servers))
-	holders := 0
-	for i := range servers {
-		s := servers[(offset+i)%len(servers)]
-		if holders < holdersKept && s.parts.prefix(shared(r.Parts)) > 0 {
-			kept = append(kept, s)
-			holders++
-		}
-	}
-	for range f.sample {
-		kept = append(kept, servers[f.random.IntN(len(servers))])
-	}
-	return kept
-}
-
-// holdersKept is the number of engines considered that keep parts of a prompt.
-const holdersKept = 4
-
 // Update adds a server or changes it.
 func (f *Fleet) Update(b Backend) {
 	f.mu.Lock()
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -42,8 +42,6 @@
 			decide.prefillers = append(decide.prefillers, s)
 		}
 	}
-	decide.decoders = f.sampled(decide.decoders, r)
-	decide.prefillers = f.sampled(decide.prefillers, r)
 	decide.engines()
 	return decide.best, decide.found
 }
@@ -303,13 +301,10 @@
 	d := decision{fleet: f, service: k, request: r, now: now}
 	var best *server
 	var least time.Duration
-	var decoders []*server
 	for _, s := range k.servers {
-		if s.Stage == StageDecode && s.takes(r) && !now.Before(s.suspectUntil) {
-			decoders = append(decoders, s)
+		if s.Stage != StageDecode || !s.takes(r) || now.Before(s.suspectUntil) {
+			continue
 		}
-	}
-	for _, s := range f.sampled(decoders, r) {
 		_, cost := d.transfer(r.PromptTokens-s.parts.prefix(r.Parts), reader, s)
 		cost += d.slotWait(s) + d.distance(s) + d.penalty(s) + d.crowd(s)
 		if best == nil || cost < least {
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -105,8 +105,6 @@
 
 // Settings are the weights of the decision.
 type Settings struct {
-	// Seed makes the random choices of hosts differ.
-	Seed uint64
 	// DataCentre is the host's own.
 	DataCentre model.DataCentreID
 	// CrossDataCentre is the cost of a call to another data centre: its round trip,
--- a/pkg/truetime/clock.go
+++ b/pkg/truetime/clock.go
@@ -56,7 +56,6 @@
 	// base is the Unix time at which the steady clock was 0.
 	base    time.Duration
 	samples map[string]sample
-	settled bool
 }
 
 type sample struct {
