--- a/pkg/edgehost/host.go
+++ b/pkg/edgehost/host.go
@@ -345,7 +345,7 @@
 // Parts of the grace of a stop.
 const (
 	// routedShare is the part in which the load balancer still sends callers.
-	routedShare = 0.36
+	routedShare = 0.29
 	// finishShare is the part by which running requests are ended.
 	finishShare = 0.9
 )
