--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -99,35 +100,38 @@
 }
 
 func TestFollowerTellsOfTheLossAndReturnOfTheStoreOnce(t *testing.T) {
-	down := true
+	var down atomic.Bool
+	down.Store(true)
+	answer := func() error {
+		if down.Load() {
+			return errors.New("down")
+		}
+		return nil
+	}
 	store := scriptedStore{
-		newest: func() ([]Record, uint64, error) {
-			if down {
-				return nil, 0, errors.New("down")
-			}
-			return nil, 1, nil
-		},
-		read: func(from uint64) ([]Record, uint64, error) {
-			if down {
-				return nil, 0, errors.New("down")
-			}
-			return nil, from, nil
-		},
+		newest: func() ([]Record, uint64, error) { return nil, 1, answer() },
+		read:   func(from uint64) ([]Record, uint64, error) { return nil, from, answer() },
 	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	// Only the goroutine of Run counts.
 	lost, back := 0, 0
 	f := &Follower{
 		Topic: "t", Table: NewTable(nil), Store: store, Log: zap.NewNop(), Interval: time.Millisecond,
-		Lost: func(error) { lost++; down = false }, Back: func() { back++; down = back == 1 },
+		Lost: func(error) {
+			lost++
+			down.Store(false)
+		},
+		Back: func() {
+			back++
+			if back == 2 {
+				cancel()
+				return
+			}
+			down.Store(true)
+		},
 	}
 	f.reachable.Store(true)
-	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
-	defer cancel()
-	go func() {
-		for back < 2 && ctx.Err() == nil {
-			time.Sleep(time.Millisecond)
-		}
-		cancel()
-	}()
 	f.Run(ctx)
 	assert.Equal(t, 2, lost)
 	assert.Equal(t, 2, back)
