--- a/pkg/edgehost/host.go
+++ b/pkg/edgehost/host.go
@@ -413,7 +413,7 @@
 	introduceRetry   = 700 * time.Millisecond
 	// membersInterval is the pause between reads of the list of hosts. Peers
 	// introduce new hosts besides.
-	membersInterval = 10 * time.Second
+	membersInterval = 30 * time.Second
 )
 
 // introduce writes the host's address to the store and reads those of others.
--- a/pkg/fleetplan/fleetplan.go
+++ b/pkg/fleetplan/fleetplan.go
@@ -51,7 +51,7 @@
 
 // DefaultPolicy returns the defaults.
 func DefaultPolicy() Policy {
-	return Policy{Total: 1, Ordinary: 1.0 / 6, Replaced: 0.6, DecodeShare: 0.3, DecodeLeast: 2, DecodeMost: 0.6,
+	return Policy{Total: 1, Ordinary: 1.0 / 12, Replaced: 0.6, DecodeShare: 0.3, DecodeLeast: 2, DecodeMost: 0.6,
 		Filled: 0.55, Places: 64, Slack: 0.12, Changes: 0.34}
 }
 
