--- /dev/null
+++ b/pkg/mesh/mesh_test.go
@@ -0,0 +1,176 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/redwingpath/redwingpath/pkg/mirror"
+)
+
+// node is a mesh with what it has heard.
+type node struct {
+	*Mesh
+	table *mirror.Table
+	stop  context.CancelFunc
+	done  chan struct{}
+
+	mu      sync.Mutex
+	heard   map[string][]time.Time
+	changed []mirror.Record
+	lost    []string
+}
+
+func (n *node) hears(host string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.heard[host])
+}
+
+func address(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func startNode(t *testing.T, name, listen string, seeds ...string) *node {
+	t.Helper()
+	n := &node{table: mirror.NewTable(nil), heard: map[string][]time.Time{}, done: make(chan struct{})}
+	m, err := New(Deps{
+		Self: Member{Host: name, Incarnation: name + "1", Address: listen, DataCentre: "z"}, Seeds: seeds,
+		Topics:  map[string]*mirror.Table{"t": n.table},
+		Compose: func(*Message) {},
+		Heard: func(m *Message) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.heard[m.From.Host] = append(n.heard[m.From.Host], time.Now())
+		},
+		Clock: func(string, time.Time, time.Time) {}, Now: time.Now,
+		Changed: func(_ string, r []mirror.Record) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.changed = append(n.changed, r...)
+		},
+		Lost: func(host string) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.lost = append(n.lost, host)
+		},
+		Back: func(string) {}, Log: zap.NewNop(),
+	}, listen)
+	require.NoError(t, err)
+	n.Mesh = m
+	ctx, cancel := context.WithCancel(t.Context())
+	n.stop = cancel
+	go func() {
+		m.Run(ctx)
+		close(n.done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-n.done
+	})
+	return n
+}
+
+func TestHostsMeetThroughOneSeedAndPassRecordsOn(t *testing.T) {
+	seed := address(t)
+	a := startNode(t, "a", seed)
+	b := startNode(t, "b", address(t), seed)
+	c := startNode(t, "c", address(t), seed)
+	require.Eventually(t, func() bool { return len(b.Live()) == 2 && len(c.Live()) == 2 }, 8*time.Second, 20*time.Millisecond)
+	a.table.Snapshot([]mirror.Record{{Key: "k", Value: []byte("1"), Offset: 4}}, 5, time.Now())
+	require.Eventually(t, func() bool {
+		r, ok := c.table.Get("k")
+		return ok && string(r.Value) == "1"
+	}, 3*time.Second, 20*time.Millisecond)
+	a.table.Apply([]mirror.Record{{Key: "k", Offset: 9}}, 10, time.Now())
+	a.Kick()
+	started := time.Now()
+	require.Eventually(t, func() bool {
+		_, ok := b.table.Get("k")
+		return !ok
+	}, time.Second, 5*time.Millisecond)
+	assert.Less(t, time.Since(started), time.Second)
+}
+
+func TestStoppedHostSaysGoodbyeAndALostOneIsNoticed(t *testing.T) {
+	seed := address(t)
+	a := startNode(t, "a", seed)
+	b := startNode(t, "b", address(t), seed)
+	require.Eventually(t, func() bool { return len(a.Live()) == 1 }, 5*time.Second, 20*time.Millisecond)
+	b.stop()
+	<-b.done
+	assert.Empty(t, a.Live())
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	assert.Empty(t, a.lost, "a goodbye is no loss")
+}
+
+func TestOneHostOfADataCentreReadsTheStore(t *testing.T) {
+	seed := address(t)
+	a := startNode(t, "a", seed)
+	b := startNode(t, "b", address(t), seed)
+	now := time.Now()
+	a.table.Snapshot(nil, 1, now)
+	require.Eventually(t, func() bool { return len(a.Live()) == 1 && len(b.Live()) == 1 }, 5*time.Second, 20*time.Millisecond)
+	assert.True(t, b.Reader(), "a has not read the store itself")
+	follower := &mirror.Follower{Topic: "t", Table: a.table, Store: emptyStore{}, Interval: 50 * time.Millisecond, Log: zap.NewNop()}
+	go follower.Run(t.Context())
+	require.Eventually(t, func() bool { return !b.Reader() }, 3*time.Second, 20*time.Millisecond)
+	assert.True(t, a.Reader())
+}
+
+type emptyStore struct{}
+
+func (emptyStore) Newest(context.Context, string) ([]mirror.Record, uint64, error) {
+	return nil, 1, nil
+}
+
+func (emptyStore) Read(_ context.Context, _ string, from uint64, _ time.Duration) ([]mirror.Record, uint64, error) {
+	return nil, from, nil
+}
+
+// A host that sends to all peers at once holds a small processor for tens of
+// milliseconds.
+func TestExchangesAreSpreadOverTheInterval(t *testing.T) {
+	const peers = 10
+	seed := address(t)
+	a := startNode(t, "a", seed)
+	var nodes []*node
+	for i := range peers {
+		nodes = append(nodes, startNode(t, fmt.Sprint("p", i), address(t), seed))
+	}
+	require.Eventually(t, func() bool { return len(a.Live()) == peers }, 10*time.Second, 20*time.Millisecond)
+	from := time.Now()
+	time.Sleep(time.Second)
+	window := a.Interval() / 5
+	slots := map[int]int{}
+	rounds := int(time.Since(from) / a.Interval())
+	for _, n := range nodes {
+		n.mu.Lock()
+		for _, at := range n.heard["a"] {
+			if at.After(from) {
+				slots[int(at.Sub(from)/window)]++
+			}
+		}
+		n.mu.Unlock()
+	}
+	busy := 0
+	for _, count := range slots {
+		if count > 0 {
+			busy++
+		}
+	}
+	assert.GreaterOrEqual(t, busy, 3*rounds, "messages come in most fifths of an interval")
+	assert.Positive(t, nodes[0].hears("a"))
+}
