--- a/pkg/edgehost/fleet.go
+++ b/pkg/edgehost/fleet.go
@@ -21,8 +21,9 @@
 	// of it is forgotten after ten seconds.
 	peakKept = 0.96
 	// scaleRepeat is the pause before an order for backend servers that had no
-	// effect is given again: servers take some seconds to start.
-	scaleRepeat = 6 * time.Second
+	// effect yet is given again. It states a number, so that a repeat does no harm;
+	// the platform may have given fewer while others were still leaving.
+	scaleRepeat = 1500 * time.Millisecond
 	// scaleRefused is the pause after a data centre had none to give.
 	scaleRefused = 2 * time.Second
 	// dryKept is how long a data centre counts as having none to give: longer than
@@ -54,6 +55,8 @@
 type scaleMemory struct {
 	desired int
 	next    time.Time
+	// refused tells that there were none to be had, or that no answer came.
+	refused bool
 }
 
 type switching struct {
@@ -138,7 +141,7 @@
 		if !known && have == t.Desired {
 			continue
 		}
-		if known && memory.desired != t.Desired && now.Before(memory.next.Add(scaleRefused-scaleRepeat)) {
+		if known && memory.refused && now.Before(memory.next) {
 			continue
 		}
 		h.orderServers(ctx, key, t.Desired, have, fence, now)
@@ -158,13 +161,13 @@
 	case err == nil:
 		h.log.Info("backend servers ordered", fields...)
 	case errors.Is(err, ErrConflict):
-		memory.next = now.Add(scaleRefused)
+		memory.next, memory.refused = now.Add(scaleRefused), true
 		if key.spot {
 			h.orders.dry[key.dataCentre] = now
 		}
 		h.log.Info("backend servers are not to be had, or another holder acts", append(fields, zap.Error(err))...)
 	default:
-		memory.next = now.Add(scaleRefused)
+		memory.next, memory.refused = now.Add(scaleRefused), true
 		h.log.Warn("an order for backend servers got no answer", append(fields, zap.Error(err))...)
 	}
 	h.orders.scaled[key] = memory
--- a/pkg/fleetplan/fleetplan.go
+++ b/pkg/fleetplan/fleetplan.go
@@ -131,9 +131,11 @@
 		if state.Dry[dc] {
 			ordinary = max(ordinary, int(p.Replaced*float64(total))-count(engines, dc, true))
 		}
+		// Ordinary servers come first: those that are given back make room for cheap
+		// ones below the limit of both.
 		targets = append(targets,
-			Target{DataCentre: dc, Spot: true, Desired: min(spot, s.Max-ordinary)},
-			Target{DataCentre: dc, Spot: false, Desired: ordinary})
+			Target{DataCentre: dc, Spot: false, Desired: ordinary},
+			Target{DataCentre: dc, Spot: true, Desired: min(spot, s.Max-ordinary)})
 	}
 	return targets
 }
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn, err := c.g.deps.Pool.Get(ctx, b.Address, false)
+	conn, err := c.g.deps.Pool.Get(ctx, b.Address, !c.route.Repeatable())
 	if err != nil {
 		return nil, eris.Wrap(errConnect, err.Error())
 	}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -35,6 +35,7 @@
 	writer    *bufio.Writer
 	written   countingWriter
 	opened    time.Time
+	idleSince time.Time
 	idleUntil time.Time
 	// announced is the idle limit that the backend server stated, 0 if none.
 	announced time.Duration
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -23,9 +23,14 @@
 	// UserTimeout is TCP_USER_TIMEOUT, after which unacknowledged data closes a
 	// connection. Unit: duration. Default: 3s.
 	UserTimeout time.Duration
-	// IdleTimeout discards a connection that was idle for longer, where the
-	// backend server announces no limit. Unit: duration. Default: 4s.
+	// IdleTimeout discards a connection that was idle for longer. Unit: duration.
+	// Default: 12s, since one of many hosts sends to one of many engines only every
+	// ten seconds.
 	IdleTimeout time.Duration
+	// OnceIdle is the idle time up to which a connection is reused for a request
+	// that must not be sent again: a server may have dropped an older one without
+	// notice. Unit: duration. Default: 2s.
+	OnceIdle time.Duration
 	// IdleShare is the part of an announced limit after which a connection is
 	// discarded. Unit: share. Default: 0.7.
 	IdleShare float64
@@ -39,7 +44,8 @@
 	return Settings{
 		DialTimeout: 800 * time.Millisecond,
 		UserTimeout: 3 * time.Second,
-		IdleTimeout: 4 * time.Second,
+		IdleTimeout: 12 * time.Second,
+		OnceIdle:    2 * time.Second,
 		IdleShare:   0.7,
 		MaxIdle:     32,
 	}
@@ -84,11 +90,12 @@
 	return p.opened
 }
 
-// Get returns an idle connection or opens one. fresh forces a new connection.
-func (p *Pool) Get(ctx context.Context, address string, fresh bool) (*Conn, error) {
+// Get returns an idle connection or opens one. once is set for a request that must
+// not be sent again.
+func (p *Pool) Get(ctx context.Context, address string, once bool) (*Conn, error) {
 	now := time.Now()
-	for !fresh {
-		c := p.pop(address, now)
+	for {
+		c := p.pop(address, now, once)
 		if c == nil {
 			break
 		}
@@ -109,12 +116,16 @@
 }
 
 // pop takes the most recently used connection that is still worth using.
-func (p *Pool) pop(address string, now time.Time) *Conn {
+func (p *Pool) pop(address string, now time.Time, once bool) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	for len(list) > 0 {
 		c := list[len(list)-1]
+		if once && now.Sub(c.idleSince) > p.settings.OnceIdle {
+			// The others have been idle for longer.
+			return nil
+		}
 		list[len(list)-1] = nil
 		list = list[:len(list)-1]
 		p.idle[address] = list
@@ -133,7 +144,7 @@
 	if c.announced > 0 {
 		limit = min(limit, time.Duration(p.settings.IdleShare*float64(c.announced)))
 	}
-	c.idleUntil = now.Add(limit)
+	c.idleSince, c.idleUntil = now, now.Add(limit)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[c.address]
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -226,3 +226,23 @@
 	assert.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	resp.Abandon()
 }
+
+func TestRequestThatMustNotBeSentAgainTakesNoConnectionThatWasIdleForLong(t *testing.T) {
+	s := DefaultSettings()
+	s.OnceIdle = 10 * time.Millisecond
+	p := NewPool(s)
+	address := backend(t, ok, ok, ok)
+	resp, _ := send(t, p, address)
+	finish(t, resp)
+	time.Sleep(20 * time.Millisecond)
+	once, err := p.Get(t.Context(), address, true)
+	require.NoError(t, err)
+	assert.False(t, once.Reused())
+	again, err := p.Get(t.Context(), address, false)
+	require.NoError(t, err)
+	assert.True(t, again.Reused())
+	once.Unused()
+	soon, err := p.Get(t.Context(), address, true)
+	require.NoError(t, err)
+	assert.True(t, soon.Reused())
+}
