--- a/pkg/engine/transport.go
+++ b/pkg/engine/transport.go
@@ -7,10 +7,9 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/redwingpath/redwingpath/pkg/upstream"
 )
 
 // TransportSettings are the limits of connections to backend servers.
@@ -90,7 +89,7 @@
 			Interval: s.KeepAliveInterval,
 			Count:    s.KeepAliveCount,
 		},
-		Control: t.setUserTimeout,
+		Control: upstream.UserTimeout(s.UserTimeout),
 	}
 	t.pooled = t.newTransport()
 	t.once = t.newTransport()
@@ -110,18 +109,6 @@
 	}
 }
 
-func (t *Transports) setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	millis := int(t.settings.UserTimeout.Milliseconds())
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, millis)
-	})
-	if err != nil {
-		return err
-	}
-	return failed
-}
-
 func (t *Transports) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	raw, err := t.dialer.DialContext(ctx, network, address)
 	if err != nil {
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -105,5 +104,3 @@
 	}
 	c.headSent = true
 }
-
-var _ http.Handler = (*Gateway)(nil)
--- /dev/null
+++ b/pkg/placement/summary.go
@@ -0,0 +1,88 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/redwingpath/redwingpath/pkg/model"
+)
+
+// Loads counts the requests of all hosts on each server of a service.
+func (f *Fleet) Loads(name model.PoolName) (running, slots int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := f.services[name]
+	if k == nil {
+		return 0, 0
+	}
+	for _, s := range k.servers {
+		if s.Leaving || s.Stage == StagePrefill {
+			continue
+		}
+		running += s.load()
+		slots += s.Slots
+	}
+	return running, slots
+}
+
+func (s *server) load() int {
+	n := s.running
+	for _, peer := range s.peers {
+		n += peer
+	}
+	return n
+}
+
+// Load counts the requests of all hosts on a server.
+func (f *Fleet) Load(id model.BackendID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.servers[id]; s != nil {
+		return s.load()
+	}
+	return 0
+}
+
+// Summary describes the engines of a service for logs.
+type Summary struct {
+	Service                  model.PoolName
+	Prefillers, Decoders     int
+	PrefillRate, DecodeRate  float64
+	PrefillWait, DecodeWait  time.Duration
+	Running, Slots, Suspects int
+}
+
+// Summaries describes all services with engines.
+func (f *Fleet) Summaries(now time.Time) []Summary {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []Summary
+	for name, k := range f.services {
+		s := Summary{Service: name, PrefillRate: k.rates[StagePrefill], DecodeRate: k.rates[StageDecode]}
+		for _, e := range k.servers {
+			if now.Before(e.suspectUntil) {
+				s.Suspects++
+			}
+			if e.Leaving || e.switching {
+				continue
+			}
+			wait := max(0, e.busyUntil.Sub(now))
+			switch e.Stage {
+			case StagePrefill:
+				s.Prefillers++
+				s.PrefillWait += wait
+			case StageDecode:
+				s.Decoders++
+				s.DecodeWait += wait
+				s.Running += e.load()
+				s.Slots += e.Slots
+			}
+		}
+		if s.Prefillers+s.Decoders == 0 {
+			continue
+		}
+		s.PrefillWait /= time.Duration(max(1, s.Prefillers))
+		s.DecodeWait /= time.Duration(max(1, s.Decoders))
+		list = append(list, s)
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/placement/ticket.go
@@ -0,0 +1,196 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+// Ticket is a request that was sent by a plan.
+type Ticket struct {
+	plan Plan
+	// prompt is the request's prompt, which the reader keeps from now on.
+	prompt []Part
+	sentAt time.Time
+	// idle tells that nothing was ahead of the request.
+	idle bool
+	// due is when the reader is expected to end the request's prompt.
+	due   time.Time
+	first bool
+	// running tells that the request counts at its server.
+	running bool
+	// read tells that the prompt was read.
+	read bool
+	done bool
+}
+
+// Send registers a request that is about to be sent by a plan.
+func (f *Fleet) Send(p Plan, r *Request, now time.Time) *Ticket {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := &Ticket{plan: p, prompt: r.Parts, sentAt: now}
+	if run := f.servers[p.Run.ID]; run != nil && p.Prefill == nil {
+		t.run(run)
+	}
+	reader := f.servers[p.Reader().ID]
+	if reader == nil {
+		return t
+	}
+	t.idle = !reader.busyUntil.After(now)
+	reader.occupy(p.work, now)
+	reader.unread += p.work
+	t.due = reader.busyUntil
+	reader.parts.add(r.Parts)
+	if reader.Engine != nil {
+		f.note(Send{Backend: reader.ID, WorkMS: millis(p.work), Parts: shared(r.Parts)})
+	}
+	return t
+}
+
+// shared leaves out the last part, which no other request is expected to have.
+func shared(parts []Part) []Part {
+	if len(parts) < 2 {
+		return nil
+	}
+	return parts[:len(parts)-1]
+}
+
+// run counts a request at the server that runs it, from when it is sent there.
+func (t *Ticket) run(s *server) {
+	s.running++
+	s.parts.add(t.prompt)
+	t.plan.Run = s.Backend
+	t.running = true
+}
+
+func (s *server) occupy(work time.Duration, now time.Time) {
+	if s.busyUntil.Before(now) {
+		s.busyUntil = now
+	}
+	s.busyUntil = s.busyUntil.Add(work)
+	if s.busyUntil.After(now.Add(backlogMost)) {
+		s.busyUntil = now.Add(backlogMost)
+	}
+}
+
+// backlogMost bounds the believed work of an engine: callers wait no longer, so
+// that more than this is an error of the belief.
+const backlogMost = 5 * time.Second
+
+// Learning weights. A rate changes by a tenth of what one request shows, so that
+// a dozen requests on idle engines settle it.
+const (
+	rateWeight = 0.1
+	// slowerWeight is less, since work of other hosts that is not known of yet
+	// makes an engine look slower than it is.
+	slowerWeight = 0.02
+	// readOverhead is the time of a call that is not reading.
+	readOverhead = 15 * time.Millisecond
+	// correctionWeight is the part of a prediction's error by which an engine's
+	// backlog is corrected.
+	correctionWeight = 0.4
+	// rateTokens is the shortest reading that tells a rate.
+	rateTokens = 3000
+	// failureWeight is the weight of the latest request in a server's failures.
+	failureWeight = 0.15
+)
+
+// Read notes the end of a prefill call.
+func (f *Fleet) Read(t *Ticket, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hasRead(t)
+	f.learn(t, now.Sub(t.sentAt), StagePrefill, now)
+}
+
+// hasRead notes that a request's prompt was read, or will not be.
+func (f *Fleet) hasRead(t *Ticket) {
+	if t.read {
+		return
+	}
+	t.read = true
+	if reader := f.servers[t.plan.Reader().ID]; reader != nil {
+		reader.unread = max(0, reader.unread-t.plan.work)
+	}
+}
+
+// FirstEvent notes the first event of a request.
+func (f *Fleet) FirstEvent(t *Ticket, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t.first {
+		return
+	}
+	t.first = true
+	if t.plan.Prefill == nil {
+		f.hasRead(t)
+	}
+	if t.plan.Prefill == nil && t.plan.Run.Stage == StageDecode {
+		k := f.services[t.plan.Run.Service]
+		if k != nil {
+			f.learn(t, now.Sub(t.sentAt)-k.first, StageDecode, now)
+		}
+	}
+	if s := f.servers[t.plan.Run.ID]; s != nil {
+		s.strikes = 0
+		s.suspectUntil = time.Time{}
+	}
+}
+
+// learn compares the time of reading with the prediction.
+func (f *Fleet) learn(t *Ticket, took time.Duration, stage Stage, now time.Time) {
+	s := f.servers[t.plan.Reader().ID]
+	k := f.services[t.plan.Run.Service]
+	if s == nil || k == nil {
+		return
+	}
+	if t.idle && t.plan.Uncached >= rateTokens && t.plan.Fetch == nil && took > 0 {
+		sample := float64(t.plan.Uncached) / millis(max(took-readOverhead, time.Millisecond))
+		sample = min(max(sample, k.rates[stage]/2), k.rates[stage]*2)
+		weight := rateWeight
+		if sample < k.rates[stage] {
+			weight = slowerWeight
+		}
+		k.rates[stage] = math.Exp((1-weight)*math.Log(k.rates[stage]) + weight*math.Log(sample))
+	}
+	late := t.sentAt.Add(took).Sub(t.due)
+	s.busyUntil = s.busyUntil.Add(time.Duration(correctionWeight * float64(late)))
+	if s.busyUntil.Before(now) {
+		s.busyUntil = now
+	}
+}
+
+// Done ends a request.
+func (f *Fleet) Done(t *Ticket, o Outcome, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t.done {
+		return
+	}
+	t.done = true
+	f.giveBack(t, now)
+	s := f.servers[t.plan.Run.ID]
+	if s == nil {
+		return
+	}
+	if t.running {
+		s.running--
+	}
+	s.judge(o, now)
+}
+
+// giveBack takes the work of a request that ended before its prompt was read off
+// its reader.
+func (f *Fleet) giveBack(t *Ticket, now time.Time) {
+	reader := f.servers[t.plan.Reader().ID]
+	if t.first || t.read || reader == nil || reader.Engine == nil {
+		return
+	}
+	f.hasRead(t)
+	left := min(t.plan.work, max(0, t.due.Sub(now)))
+	reader.occupy(-left, now)
+	f.note(Send{Backend: reader.ID, WorkMS: -millis(left)})
+}
+
+// Started tells whether the first event has come. The sender of the request owns
+// the ticket.
+func (t *Ticket) Started() bool { return t.first }
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -8,11 +8,9 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sys/unix"
 )
 
 // Settings are the limits of connections to backend servers.
@@ -66,20 +64,7 @@
 // NewPool returns a pool without connections.
 func NewPool(s Settings) *Pool {
 	p := &Pool{settings: s, idle: map[string][]*Conn{}, condemned: map[string]time.Time{}}
-	p.dialer = net.Dialer{
-		Timeout:   s.DialTimeout,
-		KeepAlive: -1,
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var failed error
-			err := raw.Control(func(fd uintptr) {
-				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(s.UserTimeout.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return failed
-		},
-	}
+	p.dialer = net.Dialer{Timeout: s.DialTimeout, KeepAlive: -1, Control: UserTimeout(s.UserTimeout)}
 	return p
 }
 
