--- /dev/null
+++ b/cmd/redwingctl/day.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"github.com/redwingpath/redwingpath/pkg/logstory"
+)
+
+const dayHelp = `Draws a day from a directory of log files of hosts as a page with plots: outcomes,
+times to the first byte, engines and waits, and the decisions and dependencies.
+
+  redwingctl day -logs DIR -out day.html`
+
+func dayCommand(std *streams) *ffcli.Command {
+	flags := newFlagSet("redwingctl day", std)
+	dir := flags.String("logs", ".", "directory of log files")
+	out := flags.String("out", "day.html", "file of the page")
+	return &ffcli.Command{
+		Name:       "day",
+		ShortUsage: "redwingctl day -logs DIR -out FILE",
+		ShortHelp:  "Draw a day from log files",
+		LongHelp:   dayHelp,
+		FlagSet:    flags,
+		Exec: func(context.Context, []string) error {
+			lines, _, err := logstory.ReadAll(os.DirFS(*dir))
+			if err != nil {
+				return err
+			}
+			file, err := os.Create(*out)
+			if err != nil {
+				return eris.Wrap(err, "create the page")
+			}
+			if err := logstory.Report(file, lines); err != nil {
+				_ = file.Close()
+				return err
+			}
+			return eris.Wrap(file.Close(), "write the page")
+		},
+	}
+}
--- a/cmd/redwingctl/main.go
+++ b/cmd/redwingctl/main.go
@@ -69,6 +69,7 @@
 		dumpCommand(std),
 		statusCommand(std),
 		whyCommand(std),
+		dayCommand(std),
 		keygenCommand(std),
 	}
 	err := root.Parse(args)
--- a/pkg/logstory/logstory_test.go
+++ b/pkg/logstory/logstory_test.go
@@ -48,3 +48,14 @@
 	require.NoError(t, Write(&out, span))
 	assert.Equal(t, "10:00:05.000 host-b               store lost topic=backends\n", out.String())
 }
+
+func TestReportShowsOutcomesAndLostDependencies(t *testing.T) {
+	lines, _, err := ReadAll(files)
+	require.NoError(t, err)
+	var page strings.Builder
+	require.NoError(t, Report(&page, lines))
+	assert.Equal(t, 4, strings.Count(page.String(), "<svg"))
+	assert.Contains(t, page.String(), "Requests by status")
+	assert.Contains(t, page.String(), "store lost topic=backends")
+	assert.Error(t, Report(&page, nil))
+}
--- /dev/null
+++ b/pkg/logstory/report.go
@@ -0,0 +1,207 @@
+package logstory
+
+import (
+	"bytes"
+	"fmt"
+	"html"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 7 * vg.Centimeter
+)
+
+// series is one curve: a value by second since the first line.
+type series map[int]float64
+
+// chart is a plot with its curves by name.
+type chart struct {
+	title, unit string
+	curves      map[string]series
+}
+
+func newChart(title, unit string) *chart {
+	return &chart{title: title, unit: unit, curves: map[string]series{}}
+}
+
+func (c *chart) add(curve string, second int, value float64) {
+	if c.curves[curve] == nil {
+		c.curves[curve] = series{}
+	}
+	c.curves[curve][second] += value
+}
+
+func (c *chart) set(curve string, second int, value float64) {
+	if c.curves[curve] == nil {
+		c.curves[curve] = series{}
+	}
+	c.curves[curve][second] = value
+}
+
+// Report writes a page that shows a day: outcomes by second, times to the first
+// event, engines and waits as one host believed them, and the decisions and lost
+// dependencies.
+func Report(w io.Writer, lines []Line) error {
+	if len(lines) == 0 {
+		return eris.New("there are no log lines")
+	}
+	charts := chartsOf(lines)
+	if _, err := fmt.Fprintf(w, "<!doctype html><meta charset=\"utf-8\"><title>Day of %s</title><body style=\"font-family:sans-serif\">\n<h1>%s to %s</h1>\n",
+		lines[0].Time.Format(time.DateOnly), lines[0].Time.Format(time.TimeOnly), lines[len(lines)-1].Time.Format(time.TimeOnly)); err != nil {
+		return eris.Wrap(err, "write the report")
+	}
+	for _, c := range charts {
+		svg, err := c.draw()
+		if err != nil {
+			return err
+		}
+		if _, err := fmt.Fprintf(w, "<div>%s</div>\n", svg); err != nil {
+			return eris.Wrap(err, "write the report")
+		}
+	}
+	return writeEvents(w, lines)
+}
+
+// chartsOf fills the charts from the lines.
+func chartsOf(lines []Line) []*chart {
+	outcomes := newChart("Requests by status", "requests/s")
+	first := newChart("Mean time to the first byte of an answer", "ms")
+	engines := newChart("Engines as the busiest logger knew them", "engines")
+	waits := newChart("Believed mean wait at engines", "ms")
+	start := lines[0].Time
+	logger := mostFrequent(lines, "engine load")
+	sums, counts := series{}, series{}
+	for _, l := range lines {
+		second := int(l.Time.Sub(start).Seconds())
+		switch l.Message {
+		case "request finished", "request not served":
+			outcomes.add(fmt.Sprint(number(l, "status")), second, 1)
+			if d, ok := duration(l, "first_event"); ok {
+				sums[second] += millis(d)
+				counts[second]++
+			}
+		case "engine load":
+			if l.Host != logger {
+				continue
+			}
+			for _, stage := range []string{"prefill", "decode"} {
+				engines.set(stage, second, number(l, stage+"_engines"))
+				if d, ok := duration(l, stage+"_wait"); ok {
+					waits.set(stage, second, millis(d))
+				}
+			}
+		}
+	}
+	for second, n := range counts {
+		first.set("first byte", second, sums[second]/n)
+	}
+	return []*chart{outcomes, first, engines, waits}
+}
+
+// mostFrequent is the host that wrote a message most often.
+func mostFrequent(lines []Line, message string) string {
+	counts := map[string]int{}
+	best := ""
+	for _, l := range lines {
+		if l.Message != message {
+			continue
+		}
+		counts[l.Host]++
+		if counts[l.Host] > counts[best] {
+			best = l.Host
+		}
+	}
+	return best
+}
+
+func number(l Line, field string) float64 {
+	n, _ := l.Fields[field].(float64)
+	return n
+}
+
+func duration(l Line, field string) (time.Duration, bool) {
+	text, _ := l.Fields[field].(string)
+	d, err := time.ParseDuration(text)
+	return d, err == nil
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func (c *chart) draw() ([]byte, error) {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = c.title, "seconds", c.unit
+	p.Legend.Top = true
+	names := make([]string, 0, len(c.curves))
+	for name := range c.curves {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for i, name := range names {
+		line, err := plotter.NewLine(points(c.curves[name]))
+		if err != nil {
+			return nil, eris.Wrapf(err, "plot %s", c.title)
+		}
+		line.Color = plotutil.Color(i)
+		p.Add(line)
+		p.Legend.Add(name, line)
+	}
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var out bytes.Buffer
+	if _, err := canvas.WriteTo(&out); err != nil {
+		return nil, eris.Wrap(err, "draw a plot")
+	}
+	// The XML declaration does not belong into a page.
+	if i := bytes.Index(out.Bytes(), []byte("<svg")); i > 0 {
+		return out.Bytes()[i:], nil
+	}
+	return out.Bytes(), nil
+}
+
+func points(s series) plotter.XYs {
+	seconds := make([]int, 0, len(s))
+	for second := range s {
+		seconds = append(seconds, second)
+	}
+	slices.Sort(seconds)
+	xys := make(plotter.XYs, len(seconds))
+	for i, second := range seconds {
+		xys[i].X, xys[i].Y = float64(second), s[second]
+	}
+	return xys
+}
+
+// listed are the messages whose lines the report lists.
+var listed = map[string]bool{
+	"host starts": true, "host stops": true, "host stopped": true, "the process stood still": true,
+	"store lost": true, "store answers": true, "peer lost": true, "duties claimed": true, "duties given up": true,
+	"configuration in force": true, "backend servers ordered": true, "stage ordered": true, "backend server gone": true,
+	"time of day corrected by the peers": true, "log lines dropped": true,
+}
+
+func writeEvents(w io.Writer, lines []Line) error {
+	var events []Line
+	for _, l := range lines {
+		if listed[l.Message] {
+			events = append(events, l)
+		}
+	}
+	var text bytes.Buffer
+	if err := Write(&text, events); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "<h2>Decisions and dependencies</h2>\n<pre>%s</pre>\n", html.EscapeString(text.String()))
+	return eris.Wrap(err, "write the report")
+}
