Keep the duties in a keyed topic, so that fixed figures outlast the log's history

The log of the duties was a plain topic; when the store dropped its history, a holder that had not read the record of the figures fixed others. Ruled out: late appends of a former holder (each names the end of the log) and counts that changed after the record (the record is what is reported). The topic is keyed now: the claim, the figures of each window and the deposits stay; old windows are removed; the fencing token stands in the claim. Test: TestFiguresOfAWindowOutlastTheHistoryOfTheLog.

--- a/integration/platformsoak/soak_test.go
+++ b/integration/platformsoak/soak_test.go
@@ -12,7 +12,11 @@
 )
 
 // Seeds that failed once stay here, with a line on the cause.
-var seeds = []uint64{1}
+var seeds = []uint64{
+	// The log of the duties lost the fixed figures of a usage window with its
+	// history, and the next holder reported others.
+	1,
+}
 
 func TestPromisesHoldUnderRandomFaults(t *testing.T) {
 	dir := t.TempDir()
--- a/pkg/duty/duty.go
+++ b/pkg/duty/duty.go
@@ -1,6 +1,6 @@
 // Package duty gives the duties that only one host may carry out to one holder.
-// A host claims them by a conditional append to the platform's log; the offset of
-// the claim is the fencing token. Everything that must not be done in two ways,
+// A host claims them by a conditional append to the platform's log; the offset at
+// which the claim was made gives the fencing token. Everything that must not be done in two ways,
 // such as the figures of a usage report, is written to the same log before it is
 // done. Each append names the end of the log that its writer has read, so that a
 // host that has lost the duties cannot write.
@@ -10,6 +10,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strconv"
 	"sync"
 	"time"
 
@@ -24,15 +25,22 @@
 // ErrConflict means that the log does not end where an append expected it.
 var ErrConflict = errors.New("the log has grown")
 
-// Log is a topic of the platform's log.
+// Entry is a record of the log with its offset.
+type Entry struct {
+	Offset uint64
+	Record []byte
+}
+
+// Log is a keyed topic of the platform's log: the newest record of each key stays
+// when the history is dropped.
 type Log interface {
-	// AppendAt appends a record if the log ends at the given offset. It fails
-	// with ErrConflict, or with another error if it is unknown whether the record
-	// was appended.
-	AppendAt(ctx context.Context, record []byte, at uint64) error
-	// Read returns the records from an offset on and the end. Offsets that were
-	// dropped are skipped; first is the offset of the first record returned.
-	Read(ctx context.Context, from uint64) (records [][]byte, first, end uint64, err error)
+	// AppendAt appends the newest record of a key if the log ends at the given
+	// offset; an empty one removes the key. It fails with ErrConflict, or with
+	// another error if it is unknown whether the record was appended.
+	AppendAt(ctx context.Context, key string, record []byte, at uint64) error
+	// Read returns the records from an offset on, or the newest of all keys where
+	// the history from there on was dropped, and the end.
+	Read(ctx context.Context, from uint64) (entries []Entry, end uint64, err error)
 }
 
 // Kind is the kind of a record.
@@ -57,11 +65,22 @@
 	Kind        Kind                           `json:"kind"`
 	Host        string                         `json:"host"`
 	Incarnation string                         `json:"incarnation"`
+	Fence       uint64                         `json:"fence,omitempty"`
 	Window      int64                          `json:"window,omitempty"`
 	Counts      map[model.OrganisationID]int64 `json:"counts"`
 	Deposits    []usagewindow.Deposit          `json:"deposits,omitempty"`
 }
 
+// key is the key of a record in the log.
+func (r *Record) key() string {
+	if r.Kind == KindUsage {
+		return usageKey(r.Window)
+	}
+	return string(r.Kind)
+}
+
+func usageKey(window int64) string { return string(KindUsage) + "/" + strconv.FormatInt(window, 10) }
+
 // Timing of claims. A holder that died is replaced within 5 s, half of the time
 // in which a usage report is due.
 const (
@@ -91,8 +110,7 @@
 
 	mu sync.Mutex
 	// end is the end of the log as read.
-	end  uint64
-	read bool
+	end uint64
 	// holder, holderIncarnation and fence are from the latest claim.
 	holder            string
 	holderIncarnation string
@@ -215,7 +233,8 @@
 	at := k.end
 	k.quietSince = time.Time{}
 	k.mu.Unlock()
-	record := k.sign(Record{Kind: KindClaim})
+	// Offsets begin with 0, which is no valid token.
+	record := k.sign(Record{Kind: KindClaim, Fence: at + 1})
 	err := k.append(ctx, record, at)
 	if err != nil && !errors.Is(err, ErrConflict) {
 		// The claim may be in the log. It is found by reading on.
@@ -243,7 +262,7 @@
 	if err != nil {
 		return eris.Wrap(err, "encode a duty record")
 	}
-	return k.Log.AppendAt(ctx, raw, at)
+	return k.Log.AppendAt(ctx, r.key(), raw, at)
 }
 
 // catchUp reads the log to its end.
@@ -251,25 +270,27 @@
 	k.mu.Lock()
 	from := k.end
 	k.mu.Unlock()
-	records, first, end, err := k.Log.Read(ctx, from)
+	entries, end, err := k.Log.Read(ctx, from)
 	if err != nil {
 		return err
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for i, raw := range records {
-		offset := first + uint64(i)
-		if offset < k.end {
-			continue
+	for _, e := range entries {
+		if e.Offset >= k.end {
+			k.apply(e.Record, e.Offset)
 		}
-		k.apply(raw, offset)
+		end = max(end, e.Offset+1)
 	}
-	k.end = max(k.end, end, first+uint64(len(records)))
-	k.read = true
+	k.end = max(k.end, end)
 	return nil
 }
 
 func (k *Keeper) apply(raw []byte, offset uint64) {
+	if len(raw) == 0 {
+		// A key was removed.
+		return
+	}
 	var r Record
 	if err := json.Unmarshal(raw, &r); err != nil {
 		k.Logger.Warn("a duty record is not readable and is skipped", zap.Uint64("offset", offset), zap.Error(err))
@@ -278,10 +299,8 @@
 	switch r.Kind {
 	case KindClaim:
 		k.claims++
-		if offset+1 > k.fence {
-			k.holder, k.holderIncarnation = r.Host, r.Incarnation
-			// Offsets begin with 0, which is no valid token.
-			k.fence = offset + 1
+		if r.Fence > k.fence {
+			k.holder, k.holderIncarnation, k.fence = r.Host, r.Incarnation, r.Fence
 			k.resigned = false
 		}
 	case KindCounts:
@@ -344,6 +363,7 @@
 	if err := k.write(ctx, Record{Kind: KindUsage, Window: window, Counts: counts}); err != nil {
 		return nil, err
 	}
+	k.removeOld(ctx, window-usageKept)
 	r, ok := k.fixed(window)
 	if !ok {
 		return nil, eris.New("the figures of a usage window are not in the log")
@@ -351,6 +371,19 @@
 	return r.Counts, nil
 }
 
+// removeOld removes the figures of an old window from the log.
+func (k *Keeper) removeOld(ctx context.Context, window int64) {
+	if _, known := k.fixed(window); !known {
+		return
+	}
+	k.mu.Lock()
+	at := k.end
+	k.mu.Unlock()
+	if err := k.Log.AppendAt(ctx, usageKey(window), nil, at); err != nil {
+		k.Logger.Debug("old figures of a usage window were not removed", zap.Int64("window", window), zap.Error(err))
+	}
+}
+
 // Deposit keeps counts of usage windows in the log.
 func (k *Keeper) Deposit(ctx context.Context, list []usagewindow.Deposit) error {
 	return k.write(ctx, Record{Kind: KindCounts, Deposits: list})
--- a/pkg/duty/duty_test.go
+++ b/pkg/duty/duty_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -20,6 +21,8 @@
 type memoryLog struct {
 	mu      sync.Mutex
 	records [][]byte
+	// newest are the offsets of the newest record of each key.
+	newest map[string]int
 	// loseAnswers carries appends out without an answer.
 	loseAnswers bool
 	// delay keeps appends until release.
@@ -30,7 +33,7 @@
 	first uint64
 }
 
-func (l *memoryLog) AppendAt(_ context.Context, record []byte, at uint64) error {
+func (l *memoryLog) AppendAt(_ context.Context, key string, record []byte, at uint64) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
@@ -40,6 +43,10 @@
 		if uint64(len(l.records)) != at {
 			return ErrConflict
 		}
+		if l.newest == nil {
+			l.newest = map[string]int{}
+		}
+		l.newest[key] = len(l.records)
 		l.records = append(l.records, record)
 		return nil
 	}
@@ -54,15 +61,31 @@
 	return err
 }
 
-func (l *memoryLog) Read(_ context.Context, from uint64) ([][]byte, uint64, uint64, error) {
+func (l *memoryLog) Read(_ context.Context, from uint64) (entries []Entry, end uint64, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return nil, 0, 0, errLost
+		return nil, 0, errLost
+	}
+	end = uint64(len(l.records))
+	for i, r := range l.records {
+		offset := uint64(i)
+		kept := false
+		for _, newest := range l.newest {
+			kept = kept || newest == i
+		}
+		if offset >= from && offset >= l.first || from < l.first && kept {
+			entries = append(entries, Entry{offset, r})
+		}
 	}
-	from = max(from, l.first)
-	from = min(from, uint64(len(l.records)))
-	return append([][]byte(nil), l.records[from:]...), from, uint64(len(l.records)), nil
+	return entries, end, nil
+}
+
+// forget drops the history; the newest record of each key stays.
+func (l *memoryLog) forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.first = uint64(len(l.records))
 }
 
 var start = time.Unix(1000, 0)
@@ -224,10 +247,45 @@
 }
 
 func TestUnreadableRecordsAreSkipped(t *testing.T) {
-	log := &memoryLog{records: [][]byte{[]byte("{"), []byte(`{"kind":"claim","host":"x","incarnation":"9"}`)}}
+	log := &memoryLog{records: [][]byte{[]byte("{"), []byte(`{"kind":"claim","host":"x","incarnation":"9","fence":2}`)}}
 	a := keeper("a", log)
 	require.NoError(t, a.catchUp(t.Context()))
 	holder, fence := a.Holding()
 	assert.Equal(t, "x", holder)
 	assert.Equal(t, uint64(2), fence)
 }
+
+func TestFiguresOfAWindowOutlastTheHistoryOfTheLog(t *testing.T) {
+	log := &memoryLog{}
+	a := keeper("a", log)
+	step(t, 0, 3*time.Second, none, a)
+	old, _ := a.Mine()
+	first, err := a.Usage(t.Context(), 7, map[model.OrganisationID]int64{"o": 1})
+	require.NoError(t, err)
+	log.forget()
+	b := keeper("b", log)
+	step(t, 10*time.Second, 16*time.Second, none, b)
+	fence, mine := b.Mine()
+	require.True(t, mine)
+	assert.Greater(t, fence, old)
+	second, err := b.Usage(t.Context(), 7, map[model.OrganisationID]int64{"o": 9})
+	require.NoError(t, err)
+	assert.Equal(t, first, second)
+}
+
+func TestFiguresOfOldWindowsAreRemoved(t *testing.T) {
+	log := &memoryLog{}
+	a := keeper("a", log)
+	step(t, 0, 3*time.Second, none, a)
+	for window := range int64(2 * usageKept) {
+		_, err := a.Usage(t.Context(), window, map[model.OrganisationID]int64{"o": window})
+		require.NoError(t, err)
+	}
+	kept := 0
+	for key, i := range log.newest {
+		if strings.HasPrefix(key, "usage/") && len(log.records[i]) > 0 {
+			kept++
+		}
+	}
+	assert.LessOrEqual(t, kept, usageKept+1)
+}
