--- a/pkg/duty/duty.go
+++ b/pkg/duty/duty.go
@@ -50,7 +50,7 @@
 const (
 	// KindClaim takes the duties.
 	KindClaim Kind = "claim"
-	// KindAlive shows that a holder lives that its peers may not hear.
+	// KindAlive is the heartbeat of a holder that its peers may not hear.
 	KindAlive Kind = "alive"
 	// KindCounts keeps the counts of usage windows that have not been reported, in
 	// case all hosts are lost.
--- a/pkg/edgehost/duties.go
+++ b/pkg/edgehost/duties.go
@@ -24,7 +24,7 @@
 	// extraWindows is the number of past windows that a holder looks at beyond those
 	// whose reports are not overdue.
 	extraWindows = 2
-	// toldMargin is how long after the end of a window a peer's word counts as
+	// toldMargin is how long after the end of a window a peer's message counts as
 	// complete: requests sent in the window have begun by then.
 	toldMargin = 250 * time.Millisecond
 )
--- a/pkg/edgehost/fleet.go
+++ b/pkg/edgehost/fleet.go
@@ -26,9 +26,9 @@
 	scaleRepeat = 1500 * time.Millisecond
 	// scaleRefused is the pause after a data centre had none to give.
 	scaleRefused = 2 * time.Second
-	// dryKept is how long a data centre counts as having none to give: longer than
+	// exhaustedKept is how long a data centre counts as having none to give: longer than
 	// the pause between two tries.
-	dryKept = 2*scaleRefused + planInterval
+	exhaustedKept = 2*scaleRefused + planInterval
 	// switchMargin is how long beyond its switch time an engine may take until
 	// its registration shows the new stage.
 	switchMargin = 2500 * time.Millisecond
@@ -38,8 +38,8 @@
 type orders struct {
 	planned time.Time
 	scaled  map[scaleKey]scaleMemory
-	// dry is when each data centre last had no cheap servers to give.
-	dry map[model.DataCentreID]time.Time
+	// exhausted is when each data centre last had no cheap servers to give.
+	exhausted map[model.DataCentreID]time.Time
 	// peaks are the most requests that ran at the same time lately, by service.
 	peaks map[model.PoolName]float64
 	// switching are the engines under an order, by the time until which it counts.
@@ -65,7 +65,7 @@
 }
 
 func newOrders() *orders {
-	return &orders{scaled: map[scaleKey]scaleMemory{}, peaks: map[model.PoolName]float64{}, dry: map[model.DataCentreID]time.Time{}, switching: map[model.BackendID]switching{}}
+	return &orders{scaled: map[scaleKey]scaleMemory{}, peaks: map[model.PoolName]float64{}, exhausted: map[model.DataCentreID]time.Time{}, switching: map[model.BackendID]switching{}}
 }
 
 // planFleet orders backend servers and changes of stage as the holder.
@@ -85,7 +85,7 @@
 		peak := max(float64(running), peakKept*h.orders.peaks[service.Name])
 		h.orders.peaks[service.Name] = peak
 		if h.settings.ScaleDuty && service.Scaling != nil {
-			state := fleetplan.State{Engines: engines, Idle: peak < 1, Dry: h.orders.dryNow(now)}
+			state := fleetplan.State{Engines: engines, Idle: peak < 1, SpotExhausted: h.orders.exhaustedNow(now)}
 			h.scale(ctx, service, state, fence, now)
 		}
 		for _, change := range h.policy.Stages(engines, service.Engine.Slots, int(peak)) {
@@ -116,13 +116,13 @@
 	return list
 }
 
-// dryNow lists the data centres that had no cheap servers to give lately.
-func (o *orders) dryNow(now time.Time) map[model.DataCentreID]bool {
-	dry := map[model.DataCentreID]bool{}
-	for dc, at := range o.dry {
-		dry[dc] = now.Sub(at) < dryKept
+// exhaustedNow lists the data centres that had no cheap servers to give lately.
+func (o *orders) exhaustedNow(now time.Time) map[model.DataCentreID]bool {
+	exhausted := map[model.DataCentreID]bool{}
+	for dc, at := range o.exhausted {
+		exhausted[dc] = now.Sub(at) < exhaustedKept
 	}
-	return dry
+	return exhausted
 }
 
 func (h *Host) scale(ctx context.Context, service *catalog.Service, state fleetplan.State, fence uint64, now time.Time) {
@@ -163,7 +163,7 @@
 	case errors.Is(err, ErrConflict):
 		memory.next, memory.refused = now.Add(scaleRefused), true
 		if key.spot {
-			h.orders.dry[key.dataCentre] = now
+			h.orders.exhausted[key.dataCentre] = now
 		}
 		h.log.Info("backend servers are not to be had, or another holder acts", append(fields, zap.Error(err))...)
 	default:
@@ -174,7 +174,7 @@
 }
 
 // orderStage orders an engine to change its stage. The order names the engine's
-// life and the number of orders it has accepted, so that a late one has no effect.
+// incarnation and the number of orders it has accepted, so that a late one has no effect.
 func (h *Host) orderStage(ctx context.Context, service *catalog.Service, change fleetplan.Change, fence uint64, now time.Time) {
 	r, ok := h.registry.registration(change.ID)
 	if !ok {
--- a/pkg/edgehost/registry.go
+++ b/pkg/edgehost/registry.go
@@ -31,7 +31,7 @@
 	mu      sync.Mutex
 	entries map[string]*registered
 	// heard is when the store's state was last known, by this host's own reads or by
-	// word of a peer.
+	// a peer's message.
 	heard time.Time
 	// storeBack is when that began again after an outage.
 	storeBack time.Time
@@ -43,7 +43,7 @@
 	lapsed time.Time
 }
 
-// outage is the time without word of the store from which entries may have lapsed
+// outage is the time without any update from the store after which entries may have lapsed
 // for want of heartbeats. It is below three heartbeats, after which they do.
 const outage = 2500 * time.Millisecond
 
@@ -83,11 +83,11 @@
 func (r *registry) update(key string, n Registration) {
 	old := r.entries[key]
 	if old != nil && old.Born == n.Born && old.Leaving && old.Service == n.Service {
-		// A server that leaves does not come back in the same life.
+		// A server that leaves does not come back in the same incarnation.
 		n.Leaving = true
 	}
 	if old != nil && n.Born < old.Born {
-		// A late word of an earlier life.
+		// A delayed entry of an earlier incarnation.
 		return
 	}
 	if old != nil && old.Born != n.Born {
--- a/pkg/edgehost/registry_test.go
+++ b/pkg/edgehost/registry_test.go
@@ -103,7 +103,7 @@
 	b.put("x", 5, false, time.Second)
 	assert.False(t, b.fleet.Usable("x"))
 	b.put("x", 4, false, time.Second)
-	assert.False(t, b.fleet.Usable("x"), "a word of an earlier life says nothing")
+	assert.False(t, b.fleet.Usable("x"), "a delayed entry of an earlier incarnation is ignored")
 	b.put("x", 6, false, 2*time.Second)
 	assert.True(t, b.fleet.Usable("x"))
 }
--- a/pkg/fleetplan/fleetplan.go
+++ b/pkg/fleetplan/fleetplan.go
@@ -101,8 +101,8 @@
 	Engines []Engine
 	// Idle tells that no request has run lately.
 	Idle bool
-	// Dry are the data centres that had no cheap servers to give lately.
-	Dry map[model.DataCentreID]bool
+	// SpotExhausted are the data centres that had no cheap servers to give lately.
+	SpotExhausted map[model.DataCentreID]bool
 }
 
 // Scale plans the numbers of servers. Ordinary servers are given back only once
@@ -128,7 +128,7 @@
 			// as cheap ones.
 			ordinary = max(ordinary, min(count(engines, dc, false), total/2-count(engines, dc, true)))
 		}
-		if state.Dry[dc] {
+		if state.SpotExhausted[dc] {
 			ordinary = max(ordinary, int(p.Replaced*float64(total))-count(engines, dc, true))
 		}
 		// Ordinary servers come first: those that are given back make room for cheap
--- a/pkg/fleetplan/fleetplan_test.go
+++ b/pkg/fleetplan/fleetplan_test.go
@@ -157,8 +157,8 @@
 func TestOrdinaryEnginesReplaceCheapOnesThatAreNotToBeHad(t *testing.T) {
 	p := DefaultPolicy()
 	list := engines("a", 2, false, placement.StageDecode)
-	dry := map[model.DataCentreID]bool{"a": true}
-	targets := p.Scale(scaling, State{Engines: list, Dry: dry})
+	exhausted := map[model.DataCentreID]bool{"a": true}
+	targets := p.Scale(scaling, State{Engines: list, SpotExhausted: exhausted})
 	assert.Equal(t, int(p.Replaced*12), desired(targets, "a", false))
 	list = append(list, engines("a", 10, true, placement.StagePrefill)...)
 	targets = p.Scale(scaling, State{Engines: list})
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -108,7 +108,7 @@
 	return m, nil
 }
 
-// Run exchanges messages until ctx ends, and then says goodbye.
+// Run exchanges messages until ctx ends, and then announces the stop.
 func (m *Mesh) Run(ctx context.Context) {
 	go func() {
 		if err := m.server.Serve(); err != nil {
@@ -119,7 +119,7 @@
 		m.round(ctx)
 	}
 	m.rounds = 0
-	m.goodbye()
+	m.announceStop()
 	m.client.Close()
 	if err := m.server.Close(); err != nil {
 		m.deps.Log.Debug("closing the listener for peers failed", zap.Error(err))
@@ -239,7 +239,7 @@
 	m.compare(ctx, reply.From, reply.Copies)
 }
 
-// hear notes a sign of life.
+// hear notes that a member is alive.
 func (m *Mesh) hear(from Member) {
 	if from.Host == m.deps.Self.Host || from.Host == "" {
 		return
@@ -408,8 +408,8 @@
 	return nil
 }
 
-// goodbye tells the peers that the host has stopped.
-func (m *Mesh) goodbye() {
+// announceStop tells the peers that the host has stopped.
+func (m *Mesh) announceStop() {
 	message := m.compose()
 	message.From.Stopped = true
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -103,7 +103,7 @@
 	assert.Less(t, time.Since(started), time.Second)
 }
 
-func TestStoppedHostSaysGoodbyeAndALostOneIsNoticed(t *testing.T) {
+func TestStoppedHostIsNotCountedAsLost(t *testing.T) {
 	seed := address(t)
 	a := startNode(t, "a", seed)
 	b := startNode(t, "b", address(t), seed)
@@ -113,7 +113,7 @@
 	assert.Empty(t, a.Live())
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	assert.Empty(t, a.lost, "a goodbye is no loss")
+	assert.Empty(t, a.lost, "an announced stop is no loss")
 }
 
 func TestOneHostOfADataCentreReadsTheStore(t *testing.T) {
--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -18,7 +18,7 @@
 	Incarnation string
 	Address     string
 	DataCentre  string
-	// Stopped is set in a member's last words.
+	// Stopped is set in a member's final message.
 	Stopped bool
 }
 
--- a/pkg/mirror/table.go
+++ b/pkg/mirror/table.go
@@ -80,7 +80,7 @@
 	return t.lastRead
 }
 
-// Confirm notes that the table was up to date at a time, by word of a peer.
+// Confirm notes that the table was up to date at a time, as a peer reports.
 func (t *Table) Confirm(at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -176,7 +176,7 @@
 		p = &peerUse{incarnation: incarnation, admitted: map[model.OrganisationID]float64{}}
 		b.peers[host] = p
 		if first {
-			// Use from before the first word says nothing on the current window.
+			// Use from before the first message says nothing on the current window.
 			p.admitted = maps.Clone(admitted)
 			if p.admitted == nil {
 				p.admitted = map[model.OrganisationID]float64{}
--- a/pkg/usagewindow/usagewindow.go
+++ b/pkg/usagewindow/usagewindow.go
@@ -38,7 +38,7 @@
 
 type peerCounts struct {
 	counts map[int64]map[model.OrganisationID]int64
-	// told is the time of day of the latest word.
+	// told is the time of day of the latest message.
 	told time.Time
 }
 
--- a/pkg/usagewindow/usagewindow_test.go
+++ b/pkg/usagewindow/usagewindow_test.go
@@ -13,7 +13,7 @@
 	c.Began("o")
 	c.Began("o")
 	c.Hear("h", "1", []Line{{200, "o", 3}}, now)
-	// The host was killed and has come back; what its former life counted stays.
+	// The host was killed and has come back; what its earlier incarnation counted stays.
 	c.Hear("h", "2", []Line{{200, "o", 1}}, now.Add(time.Second))
 	assert.Equal(t, int64(6), c.Sum(200)["o"])
 }
@@ -29,7 +29,7 @@
 	assert.Equal(t, time.Unix(1005, 0), c.End(200))
 }
 
-func TestOlderWordOfAPeerIsIgnored(t *testing.T) {
+func TestOlderMessageOfAPeerIsIgnored(t *testing.T) {
 	now := time.Unix(1000, 0)
 	c := New(5*time.Second, func() time.Time { return now })
 	c.Hear("h", "1", []Line{{200, "o", 3}}, now.Add(time.Second))
@@ -64,5 +64,5 @@
 	next.Restore("a", "2", deposits)
 	assert.Equal(t, int64(6), next.Sum(200)["o"], "a deposit counts once")
 	next.Hear("b", "1", []Line{{200, "o", 5}}, now)
-	assert.Equal(t, int64(7), next.Sum(200)["o"], "later word of a process that lives goes first")
+	assert.Equal(t, int64(7), next.Sum(200)["o"], "a later message of a live process goes first")
 }
