Report a host as ready only once it accepts changes

Cause: readiness asked whether the log was read and the view is fresh, but a change is accepted only after a majority has answered the host since it joined. An operator that waited for /readyz got "not answered by a majority" for its first change. Ruled out: the freshness of the view and the reachability of the log; both were given when the change was refused. Before: TestReadyHostAcceptsChanges fails with that refusal. After: it passes, and a host that no majority has answered is not ready. Conclusion: readiness and acceptance ask the same question.

--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -205,6 +205,19 @@
 // not leaving.
 func (c *Control) Ready() bool { return c.ready.Load() && !c.leaving.Load() }
 
+// Health tells whether the host may get requests and take changes, and why not.
+func (c *Control) Health() (ready bool, reason string) {
+	switch {
+	case !c.Ready():
+		return false, "has not read the log to its end yet"
+	case !c.Fresh():
+		return false, "its view of the log is out of date"
+	case !c.counts.Load():
+		return false, "has not been answered by a majority since it joined"
+	}
+	return true, ""
+}
+
 // Holds tells whether this host may act as the holder of a shard now, and its
 // fencing number. Callers ask again right before each action.
 func (c *Control) Holds(shard model.ShardName) (model.Offset, bool) {
--- a/pkg/control/control_test.go
+++ b/pkg/control/control_test.go
@@ -282,3 +282,40 @@
 		}
 	})
 }
+
+// An operator who waits for a host to be ready must not be told then that the
+// host does not accept changes yet.
+func TestReadyHostAcceptsChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 5, nil)
+		c.awaitEstablished()
+		h := c.startHost("late", "01A")
+		for range 200 {
+			if ready, _ := h.Health(); ready {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		ready, reason := h.Health()
+		require.True(t, ready, reason)
+		_, err := h.ApplyConfig(t.Context(), "ana", []logrec.Change{organisation("o", 0, 1)})
+		require.NoError(t, err)
+	})
+}
+
+func TestHostThatNoMajorityHasAnsweredIsNotReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, nil)
+		c.awaitEstablished()
+		c.partition(1, "late")
+		h := c.startHost("late", "01A")
+		for range 300 {
+			time.Sleep(10 * time.Millisecond)
+			ready, _ := h.Health()
+			require.False(t, ready)
+		}
+		require.True(t, h.Ready(), "it has read the log")
+		_, reason := h.Health()
+		require.NotEmpty(t, reason)
+	})
+}
--- a/pkg/node/operators.go
+++ b/pkg/node/operators.go
@@ -21,14 +21,13 @@
 
 // Ready implements operator.Health.
 func (n *node) Ready() (bool, string) {
-	switch {
-	case n.stopping.Load():
+	if n.stopping.Load() {
 		return false, "shutting down"
-	case !n.control.Ready():
-		return false, "has not read the log to its end yet"
-	case !n.control.Fresh():
-		return false, "its view of the log is out of date"
-	case !n.coordinated():
+	}
+	if ready, reason := n.control.Health(); !ready {
+		return false, reason
+	}
+	if !n.coordinated() {
 		return false, "some rates have no coordinator yet"
 	}
 	return true, ""
