--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -50,8 +50,9 @@
 		return nil, errLeaving
 	}
 	c.attempts++
+	c.lastSent = time.Now()
 	if c.sentAt.IsZero() {
-		c.sentAt = time.Now()
+		c.sentAt = c.lastSent
 	}
 	_ = c.outcome.Apply(atmostonce.EventSend)
 	c.log.Debug("request sent", zap.String("backend", string(b.ID)), zap.String("address", b.Address),
@@ -108,12 +109,20 @@
 	return placement.Failed
 }
 
+// beganLeast is the time from which a request whose connection broke counts as
+// begun: a server that had dropped an idle connection resets it within a round
+// trip, and one that ran the request takes longer until it breaks off.
+const beganLeast = 15 * time.Millisecond
+
 // next decides whether the request is sent again after a failed attempt.
 func (c *call) next(ctx context.Context, failed *placement.Backend, err error) *refusal {
 	state := c.outcome.State()
 	c.log.Info("attempt failed", zap.String("backend", string(failed.ID)), zap.Int("attempt", c.attempts),
 		zap.Stringer("state", state), zap.Int("events", c.events), zap.Error(err))
 	c.g.deps.Metrics.attemptFailed(cause(err))
+	if brokenConnection(ctx, err) && time.Since(c.lastSent) >= beganLeast {
+		c.began()
+	}
 	c.place.Exclude = append(c.place.Exclude, failed.ID)
 	if ctx.Err() != nil {
 		return c.ended(ctx)
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -48,8 +48,12 @@
 	// the time of the latest prefill call.
 	sentAt   time.Time
 	readTook time.Duration
-	counted  bool
-	log      *zap.Logger
+	// lastSent is when the latest attempt was sent.
+	lastSent time.Time
+	// prefillRefused tells that the latest prefill call was turned away.
+	prefillRefused bool
+	counted        bool
+	log            *zap.Logger
 	// last is the latest plan, for the log.
 	last placement.Plan
 }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -217,6 +217,40 @@
 	assert.LessOrEqual(t, len(reader.requests())+len(runner.requests()), 6+2)
 }
 
+// A prefill call that was accepted is no run, so that the run after it needs no
+// part of the budget, also where the answer was lost.
+func TestPrefillWhoseAnswerIsLostNeedsNoBudget(t *testing.T) {
+	reader := startBackend(t, "p", closeAfterRun)
+	runner := startBackend(t, "d", streamFrom(2, true))
+	b := newBed(t, func(s *Settings) { s.RetryRatio, s.RetrySlack = 0, 0 },
+		reader.engine(placement.StagePrefill), runner.engine(placement.StageDecode))
+	r := b.do(t, http.MethodPost, "/say/x", "b", map[string]string{"X-Tokens": "50000"})
+	assert.Equal(t, http.StatusOK, r.status)
+	assert.EqualValues(t, 1, reader.runs.Load())
+	assert.EqualValues(t, 1, runner.runs.Load())
+}
+
+// Usage is what backend servers began to run, whether or not their answers arrive.
+func TestRequestWhoseAnswerIsLostCountsAsBegun(t *testing.T) {
+	loses := func(after time.Duration) answer {
+		return func(b *backendServer, conn net.Conn, r *http.Request) {
+			time.Sleep(after)
+			closeAfterRun(b, conn, r)
+		}
+	}
+	for _, c := range []struct {
+		path  string
+		after time.Duration
+		began int64
+	}{{"/pay/x", 3 * beganLeast, 1}, {"/pay/x", 0, 0}, {"/say/x", 3 * beganLeast, 1}} {
+		plain, engine := startBackend(t, "s", loses(c.after)), startBackend(t, "e", loses(c.after))
+		b := newBed(t, nil, plain.plain(), engine.engine(placement.StageDecode))
+		r := b.do(t, http.MethodPost, c.path, "b", nil)
+		assert.Equal(t, http.StatusBadGateway, r.status)
+		assert.Equal(t, c.began, b.usage.n.Load(), "%s after %s", c.path, c.after)
+	}
+}
+
 func TestEngineThatBeganToLeaveDuringThePrefillIsNotSentTheRequest(t *testing.T) {
 	var b *bed
 	leaving := startBackend(t, "d1", streamFrom(2, true))
--- a/pkg/gateway/report.go
+++ b/pkg/gateway/report.go
@@ -22,7 +22,7 @@
 // refuse writes a final answer of the host's own.
 func (c *call) refuse(no *refusal) {
 	ran := c.outcome.Ran()
-	if ran != model.NotRun && !c.route.Repeatable() && promises(no.status) {
+	if ran != model.NotRun && promises(no.status) {
 		// A promise that the request has not run must be true.
 		no.status = http.StatusBadGateway
 		no.retryAfter = 0
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -40,8 +40,9 @@
 		c.place.NoPrefill = true
 		if errors.Is(err, errPrefill) && ctx.Err() == nil {
 			c.place.Exclude = append(c.place.Exclude, plan.Prefill.ID)
-			if !c.g.budgets.take(c.service.Name, time.Now()) {
-				// A call to read the prompt that was not accepted counts like a run.
+			// A call to read the prompt that was turned away counts like a run. One whose
+			// answer was lost does not, so that the run that follows is the first.
+			if c.prefillRefused && !c.g.budgets.take(c.service.Name, time.Now()) {
 				return c.endStream(c.giveUp(err))
 			}
 			continue
@@ -272,6 +273,7 @@
 	handle, err := c.prefillCall(ctx, plan)
 	now := time.Now()
 	c.readTook = now.Sub(started)
+	c.prefillRefused = errors.Is(err, errNotRun)
 	if err != nil {
 		c.log.Info("prefill failed", zap.String("backend", string(b.ID)), zap.Duration("took", now.Sub(started)), zap.Error(err))
 		c.g.deps.Fleet.Judge(b.ID, c.outcomeOf(ctx, err), now)
