Tell peers less, take turns at a lost store, and prefer engines that few others prefer

The usage counts, which only the holder of the duties needs, were 2.6 of 3.3 KB of each message between hosts; all hosts read the store and the log of the duties while one of them was down or lost; hosts that hear of each other every 0.6 s chose the same idle engines (prompts were read at 42 tokens a millisecond where 100 were expected, with no wait predicted). In the test that plays the load of 88 hosts the pairs of hosts and engines that are connected fall from 5,174 to 1,537 at the same share in time.

--- a/pkg/duty/duty.go
+++ b/pkg/duty/duty.go
@@ -89,6 +89,13 @@
 	// confirm is how long the log must stay unchanged besides. It is above the
 	// interval of KindAlive, and together with silence above the platform's lease.
 	confirm = 1600 * time.Millisecond
+	// claimTurn lengthens the silence by each host that goes before: a claim is known
+	// to the others two seconds later, and each host that considers one reads the
+	// log five times a second.
+	claimTurn = 250 * time.Millisecond
+	// claimTurnMost bounds that, so that a report is not overdue where all hosts
+	// that go before cannot reach the store.
+	claimTurnMost = 3 * time.Second
 	// aliveInterval is the interval of KindAlive.
 	aliveInterval = 800 * time.Millisecond
 	// settle keeps a host that has just started from claiming, unless nobody ever
@@ -106,7 +113,9 @@
 	Host        string
 	Incarnation string
 	Log         Log
-	Logger      *zap.Logger
+	// Rank is the number of hosts that claim before this one does. It may be nil.
+	Rank   func() int
+	Logger *zap.Logger
 
 	mu sync.Mutex
 	// end is the end of the log as read.
@@ -186,9 +195,13 @@
 // Step claims the duties if nobody holds them. isolated tells that the host
 // hears few of its peers.
 func (k *Keeper) Step(ctx context.Context, isolated bool, now time.Time) error {
+	turn := time.Duration(0)
+	if k.Rank != nil {
+		turn = min(time.Duration(k.Rank())*claimTurn, claimTurnMost)
+	}
 	k.mu.Lock()
 	mine := k.mine()
-	waiting := now.Sub(k.heard) < silence || now.Before(k.notBefore)
+	waiting := now.Sub(k.heard) < silence+turn || now.Before(k.notBefore)
 	alive := mine && isolated && now.Sub(k.lastAlive) >= aliveInterval
 	k.mu.Unlock()
 	switch {
--- a/pkg/duty/duty_test.go
+++ b/pkg/duty/duty_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -289,3 +290,57 @@
 	}
 	assert.LessOrEqual(t, kept, usageKept+1)
 }
+
+// countingLog counts the calls that its hosts make.
+type countingLog struct {
+	*memoryLog
+	calls int
+}
+
+func (l *countingLog) AppendAt(ctx context.Context, key string, record []byte, at uint64) error {
+	l.calls++
+	return l.memoryLog.AppendAt(ctx, key, record, at)
+}
+
+func (l *countingLog) Read(ctx context.Context, from uint64) ([]Entry, uint64, error) {
+	l.calls++
+	return l.memoryLog.Read(ctx, from)
+}
+
+// The loss of a holder is no reason for each of many hosts to read the log until
+// one of them has claimed.
+func TestFewOfManyHostsReadTheLogOnceTheHolderIsLost(t *testing.T) {
+	log := &countingLog{memoryLog: &memoryLog{}}
+	var keepers []*Keeper
+	for i := range 88 {
+		k := keeper(strconv.Itoa(i), log)
+		k.Rank = func() int { return max(0, i-1) }
+		keepers = append(keepers, k)
+	}
+	step(t, 0, 8*time.Second, all, keepers...)
+	_, mine := keepers[0].Mine()
+	require.True(t, mine)
+	assert.Less(t, log.calls, 10, "of the first claim")
+	log.calls = 0
+	step(t, 8*time.Second, 16*time.Second, all, keepers[1:]...)
+	n, _ := holders(keepers[1:]...)
+	assert.Equal(t, 1, n)
+	assert.Less(t, log.calls, 60)
+}
+
+func TestHostsThatCannotReachTheLogDoNotKeepTheOthersFromClaiming(t *testing.T) {
+	log, down := &memoryLog{}, &memoryLog{down: true}
+	var keepers []*Keeper
+	for i := range 40 {
+		l := log
+		if i < 30 {
+			l = down
+		}
+		k := keeper(strconv.Itoa(i), l)
+		k.Rank = func() int { return i }
+		keepers = append(keepers, k)
+	}
+	step(t, 0, silence+claimTurnMost+time.Second, all, keepers...)
+	n, _ := holders(keepers...)
+	assert.Equal(t, 1, n)
+}
--- /dev/null
+++ b/pkg/edgehost/calls_test.go
@@ -0,0 +1,57 @@
+package edgehost
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/redwingpath/redwingpath/pkg/duty"
+	"github.com/redwingpath/redwingpath/pkg/mirror"
+)
+
+// scriptedPlatform fails reads of one topic.
+type scriptedPlatform struct {
+	Platform
+	fails string
+}
+
+func (p scriptedPlatform) Read(_ context.Context, topic string, from uint64, _ time.Duration) ([]mirror.Record, uint64, error) {
+	if topic == p.fails {
+		return nil, 0, errors.New("down")
+	}
+	return nil, from, nil
+}
+
+func (p scriptedPlatform) DutyLog() duty.Log { return scriptedLog{} }
+
+type scriptedLog struct{ duty.Log }
+
+func (scriptedLog) Read(context.Context, uint64) ([]duty.Entry, uint64, error) { return nil, 7, nil }
+
+func TestCallsToThePlatformAreCountedByResult(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	c := newCountedPlatform(scriptedPlatform{fails: TopicBackends}, prometheus.NewRegistry())
+	_, _, err := c.Read(t.Context(), TopicBackends, 0, 0)
+	require.Error(t, err)
+	_, end, err := c.Read(t.Context(), TopicConfiguration, 5, 0)
+	require.NoError(t, err)
+	assert.Equal(t, uint64(5), end)
+	_, end, err = c.DutyLog().Read(t.Context(), 0)
+	require.NoError(t, err)
+	assert.Equal(t, uint64(7), end)
+	assert.Equal(t, 1.0, testutil.ToFloat64(c.metric.WithLabelValues("read backends", resultFailed)))
+	assert.Equal(t, 1.0, testutil.ToFloat64(c.metric.WithLabelValues("read duties", resultOK)))
+	c.summarise(zap.New(core))
+	c.summarise(zap.New(core))
+	require.Equal(t, 1, logs.Len(), "nothing is logged where no calls were made")
+	assert.Equal(t, map[string]int{"read backends failed": 1, "read configuration ok": 1, "read duties ok": 1},
+		logs.All()[0].ContextMap()["calls"])
+}
--- a/pkg/edgehost/duties.go
+++ b/pkg/edgehost/duties.go
@@ -58,13 +58,19 @@
 }
 
 func (h *Host) stepDuties(ctx context.Context, now time.Time) {
+	h.observeDemand(now)
 	ctx, cancel := context.WithTimeout(ctx, dutyTimeout)
 	defer cancel()
 	isolated := 2*(len(h.mesh.Live())+1) <= h.mesh.Known()+1
+	_, held := h.duties.Mine()
 	if err := h.duties.Step(ctx, isolated, now); err != nil {
 		h.log.Info("the log of the duties was not reached", zap.Error(err))
 	}
 	fence, mine := h.duties.Mine()
+	if mine && !held {
+		// The others need not claim.
+		h.mesh.Kick()
+	}
 	h.metrics.holder.Set(boolNumber(mine))
 	if !mine {
 		clear(h.reported)
--- a/pkg/edgehost/exchange.go
+++ b/pkg/edgehost/exchange.go
@@ -14,9 +14,10 @@
 	var err error
 	h.mesh, err = mesh.New(mesh.Deps{
 		Self: h.self, Seeds: h.settings.Seeds,
-		Topics:  h.tables,
-		Compose: h.compose,
-		Heard:   h.heard,
+		Topics:    h.tables,
+		Compose:   h.compose,
+		CountsFor: h.mayReport,
+		Heard:     h.heard,
 		Clock: func(peer string, theirs, ours time.Time) {
 			if d := h.clock.Observe(peer, theirs, ours); d != 0 {
 				h.log.Warn("time of day corrected by the peers", zap.Duration("by", d))
@@ -41,9 +42,10 @@
 
 // compose fills in what this host tells its peers.
 func (h *Host) compose(m *mesh.Message) {
+	h.findDeputy()
 	m.Load = h.fleet.Report()
 	m.Admitted = h.quota.Admitted()
-	m.Counts = h.usage.Lines()
+	m.Counted, m.Counts = true, h.usage.Lines()
 	if fence, mine := h.duties.Mine(); mine {
 		m.Holding = mesh.Holding{Holder: h.self.Host, Fence: fence}
 		m.Switching = *h.switching.Load()
@@ -51,12 +53,36 @@
 	m.Suspects = h.gateway.Suspects()
 }
 
+// mayReport tells whether a peer may have to report usage: the holder of the
+// duties, the host that is expected to follow it, or any peer while the holder is
+// not known.
+func (h *Host) mayReport(peer string) bool {
+	holder, _ := h.duties.Holding()
+	return holder == "" || holder == peer || *h.deputy.Load() == peer
+}
+
+// findDeputy notes which peer is expected to claim the duties after the holder:
+// the first by name.
+func (h *Host) findDeputy() {
+	holder, _ := h.duties.Holding()
+	deputy := ""
+	for _, m := range h.mesh.Live() {
+		if m.Host != holder {
+			deputy = m.Host
+			break
+		}
+	}
+	h.deputy.Store(&deputy)
+}
+
 // heard takes a peer's message.
 func (h *Host) heard(m *mesh.Message) {
 	now := time.Now()
 	host := m.From.Host
 	h.fleet.Hear(host, m.Load, now)
-	h.usage.Hear(host, m.From.Incarnation, m.Counts, m.Now)
+	if m.Counted {
+		h.usage.Hear(host, m.From.Incarnation, m.Counts, m.Now)
+	}
 	if m.Holding.Holder == host && !m.From.Stopped {
 		h.duties.Hear(host, m.Holding.Fence, now)
 		h.fleet.SetSwitching(m.Switching)
--- a/pkg/edgehost/fleet.go
+++ b/pkg/edgehost/fleet.go
@@ -68,6 +68,25 @@
 	return &orders{scaled: map[scaleKey]scaleMemory{}, peaks: map[model.PoolName]float64{}, exhausted: map[model.DataCentreID]time.Time{}, switching: map[model.BackendID]switching{}}
 }
 
+// observeDemand measures the demand for reading at each service. Every host does,
+// so that one that takes over the duties knows it.
+func (h *Host) observeDemand(now time.Time) {
+	c := h.catalog.Load()
+	if c == nil {
+		return
+	}
+	for i := range c.Services {
+		name := c.Services[i].Name
+		if c.Services[i].Engine == nil {
+			continue
+		}
+		if h.demand[name] == nil {
+			h.demand[name] = &fleetplan.Demand{}
+		}
+		h.demand[name].Observe(h.fleet.Work(name), now)
+	}
+}
+
 // planFleet orders backend servers and changes of stage as the holder.
 func (h *Host) planFleet(ctx context.Context, fence uint64, now time.Time) {
 	c := h.catalog.Load()
@@ -86,6 +105,9 @@
 		h.orders.peaks[service.Name] = peak
 		if h.settings.ScaleDuty && service.Scaling != nil {
 			state := fleetplan.State{Engines: engines, Idle: peak < 1, SpotExhausted: h.orders.exhaustedNow(now)}
+			if d := h.demand[service.Name]; d != nil {
+				state.Busy, state.DemandKnown = d.Busy(now)
+			}
 			h.scale(ctx, service, state, fence, now)
 		}
 		for _, change := range h.policy.Stages(engines, service.Engine.Slots, int(peak)) {
@@ -144,17 +166,18 @@
 		if known && memory.refused && now.Before(memory.next) {
 			continue
 		}
-		h.orderServers(ctx, key, t.Desired, have, fence, now)
+		h.orderServers(ctx, key, t.Desired, have, state.Busy, fence, now)
 	}
 }
 
-func (h *Host) orderServers(ctx context.Context, key scaleKey, desired, have int, fence uint64, now time.Time) {
+func (h *Host) orderServers(ctx context.Context, key scaleKey, desired, have int, busy float64, fence uint64, now time.Time) {
 	err := h.platform.Scale(ctx, h.self.Host, fence, ScaleOrder{
 		Service: key.service, DataCentre: key.dataCentre, Desired: desired, Spot: key.spot,
 	})
 	fields := []zap.Field{
 		zap.String("service", string(key.service)), zap.String("data_centre", string(key.dataCentre)),
 		zap.Bool("spot", key.spot), zap.Int("desired", desired), zap.Int("have", have), zap.Uint64("fence", fence),
+		zap.Float64("engines_busy", busy),
 	}
 	memory := scaleMemory{desired: desired, next: now.Add(scaleRepeat)}
 	switch {
--- a/pkg/edgehost/host.go
+++ b/pkg/edgehost/host.go
@@ -28,7 +28,9 @@
 	settings *Settings
 	log      *zap.Logger
 	platform Platform
-	self     mesh.Member
+	// calls is platform, for the summary of its calls.
+	calls *countedPlatform
+	self  mesh.Member
 
 	clock    *truetime.Clock
 	catalog  atomic.Pointer[catalog.Catalog]
@@ -50,6 +52,8 @@
 	stopping atomic.Bool
 	// saidReady is the last answer to the load balancer.
 	saidReady atomic.Bool
+	// deputy is the peer that is expected to hold the duties after the holder.
+	deputy atomic.Pointer[string]
 	// switching are the engines that this host has ordered to change their stage.
 	switching atomic.Pointer[[]model.BackendID]
 	// configMu keeps configurations from being applied out of order.
@@ -58,13 +62,15 @@
 	// deposited is when the counts were last kept in the log.
 	deposited time.Time
 	orders    *orders
-	policy    fleetplan.Policy
+	// demand is the demand for reading by service; the goroutine of the duties owns it.
+	demand map[model.PoolName]*fleetplan.Demand
+	policy fleetplan.Policy
 }
 
 // New assembles a host.
 func New(s *Settings, p Platform, dialect gateway.Dialect, log *zap.Logger) (*Host, error) {
 	h := &Host{
-		settings: s, log: log, platform: p,
+		settings: s, log: log,
 		self:     mesh.Member{Host: string(s.Host), Incarnation: ulid.Make().String(), Address: s.Peers, DataCentre: string(s.DataCentre)},
 		clock:    truetime.New(truetime.System()),
 		tables:   map[string]*mirror.Table{},
@@ -73,10 +79,14 @@
 		gatherer: prometheus.NewRegistry(),
 		reported: map[int64]bool{},
 		orders:   newOrders(),
+		demand:   map[model.PoolName]*fleetplan.Demand{},
 		policy:   fleetplan.DefaultPolicy(),
 	}
+	h.calls = newCountedPlatform(p, h.gatherer)
+	h.platform = h.calls
 	h.quota = quota.NewBook(time.Now(), h.quotaOf)
 	h.switching.Store(&[]model.BackendID{})
+	h.deputy.Store(new(string))
 	h.metrics = newHostMetrics(h.gatherer)
 	h.usage = usagewindow.New(s.UsageWindow, h.clock.Now)
 	placing := placement.DefaultSettings()
@@ -87,12 +97,13 @@
 		forget: func(address string) { h.pool.Condemn(address) }, bad: h.metrics.badRecords.Inc,
 		kick: func() { h.mesh.Kick() },
 	}
-	h.duties = &duty.Keeper{Host: h.self.Host, Incarnation: h.self.Incarnation, Log: p.DutyLog(), Logger: log}
+	h.duties = &duty.Keeper{Host: h.self.Host, Incarnation: h.self.Incarnation, Log: h.calls.DutyLog(), Logger: log}
 	h.follow(TopicConfiguration, configurationWait, 0)
 	h.follow(TopicBackends, 0, backendsInterval)
 	if err := h.newMesh(); err != nil {
 		return nil, err
 	}
+	h.duties.Rank = func() int { return h.mesh.Rank(false) }
 	serving := gateway.DefaultSettings()
 	serving.RetryRatio = retryShare * s.RetryRatio
 	serving.RetryWindow = s.RetryWindow
--- a/pkg/edgehost/run.go
+++ b/pkg/edgehost/run.go
@@ -129,8 +129,10 @@
 // summaryInterval is the pause between log lines on the load of the engines.
 const summaryInterval = 2 * time.Second
 
-// summarise logs what the host believes of the engines' load.
+// summarise logs what the host believes of the engines' load, and its calls to the
+// platform.
 func (h *Host) summarise(now time.Time) {
+	h.calls.summarise(h.log)
 	for _, s := range h.fleet.Summaries(now) {
 		h.log.Info("engine load", zap.String("service", string(s.Service)),
 			zap.Int("prefill_engines", s.Prefillers), zap.Int("decode_engines", s.Decoders),
@@ -154,6 +156,7 @@
 		case now := <-ticker.C:
 			h.registry.hear(h.tables[TopicBackends].Heard())
 			h.registry.sweep(now)
+			h.fleet.SetTurn(h.mesh.Turn())
 			h.pool.Sweep(now)
 			for _, t := range h.tables {
 				t.Trim(now)
--- a/pkg/fleetplan/fleetplan.go
+++ b/pkg/fleetplan/fleetplan.go
@@ -22,9 +22,17 @@
 
 // Policy are the targets of a plan.
 type Policy struct {
-	// Total is the number of engines in each data centre, as a share of the most
-	// that the operator allows.
+	// Total is the largest number of engines in each data centre, as a share of the
+	// most that the operator allows. So many are ordered until the demand is known.
 	Total float64
+	// Least is the smallest number, as a share of the largest.
+	Least float64
+	// BusyShare is the part of the reading engines that the highest demand of late
+	// keeps busy. The rest is for bursts, for chance, and for what hosts do not know
+	// of each other yet.
+	BusyShare float64
+	// Step is the part of the largest number by which the number changes.
+	Step float64
 	// Ordinary is the share of those that are ordinary servers.
 	Ordinary float64
 	// Replaced is the part of the planned number that is made up of ordinary servers
@@ -51,7 +59,7 @@
 
 // DefaultPolicy returns the defaults.
 func DefaultPolicy() Policy {
-	return Policy{Total: 1, Ordinary: 1.0 / 12, Replaced: 0.6, DecodeShare: 0.3, DecodeLeast: 2, DecodeMost: 0.6,
+	return Policy{Total: 1, Least: 0.5, BusyShare: 0.3, Step: 1.0 / 12, Ordinary: 1.0 / 12, Replaced: 0.6, DecodeShare: 0.3, DecodeLeast: 2, DecodeMost: 0.6,
 		Filled: 0.55, Places: 64, Slack: 0.12, Changes: 0.34}
 }
 
@@ -86,11 +94,44 @@
 	return n
 }
 
-// total is the number of engines in each data centre.
-func (p Policy) total(s *catalog.Scaling) int {
+// most is the largest number of engines that is planned for a data centre.
+func (p Policy) most(s *catalog.Scaling) int {
 	return min(max(int(math.Round(p.Total*float64(s.Max))), s.Min), s.Max)
 }
 
+// needed is the number of engines in all data centres together.
+func (p Policy) needed(s *catalog.Scaling, state State) int {
+	most := p.most(s)
+	if !state.DemandKnown {
+		return most * len(s.Prices)
+	}
+	least := int(math.Ceil(p.Least * float64(most)))
+	readers := state.Busy / p.BusyShare
+	each := readers / (1 - p.DecodeShare) / float64(len(s.Prices))
+	step := max(1, int(math.Ceil(p.Step*float64(most))))
+	rounded := int(math.Ceil(each/float64(step))) * step
+	return min(max(rounded, least, s.Min), most) * len(s.Prices)
+}
+
+// spread divides a number of engines evenly among data centres that can have so
+// many each. It returns the numbers and what no data centre has room for.
+func spread(total int, room map[model.DataCentreID]int) (shares map[model.DataCentreID]int, missing int) {
+	centres := make([]model.DataCentreID, 0, len(room))
+	for dc := range room {
+		centres = append(centres, dc)
+	}
+	slices.SortFunc(centres, func(a, b model.DataCentreID) int {
+		return cmp.Or(cmp.Compare(room[a], room[b]), cmp.Compare(a, b))
+	})
+	shares = map[model.DataCentreID]int{}
+	for i, dc := range centres {
+		left := len(centres) - i
+		shares[dc] = min(room[dc], (total+left-1)/left)
+		total -= shares[dc]
+	}
+	return shares, total
+}
+
 // ordinary is the number of ordinary servers among the engines of a data centre.
 func (p Policy) ordinary(total int) int {
 	return min(max(1, int(math.Round(p.Ordinary*float64(total)))), total)
@@ -101,23 +142,39 @@
 	Engines []Engine
 	// Idle tells that no request has run lately.
 	Idle bool
+	// Busy is the highest number of engines that reading kept busy lately, if
+	// DemandKnown is set.
+	Busy        float64
+	DemandKnown bool
 	// SpotExhausted are the data centres that had no cheap servers to give lately.
 	SpotExhausted map[model.DataCentreID]bool
 }
 
 // Scale plans the numbers of servers. Ordinary servers are given back only once
 // cheap ones have taken their place, or while nobody sends requests. Where no
-// cheap ones are to be had, ordinary ones take theirs for a while.
+// cheap ones are to be had, other data centres make up for them, and ordinary
+// servers for what these have no room for.
 func (p Policy) Scale(s *catalog.Scaling, state State) []Target {
 	engines := state.Engines
-	var targets []Target
+	most, needed := p.most(s), p.needed(s, state)
+	room := map[model.DataCentreID]int{}
+	for dc := range s.Prices {
+		room[dc] = most
+		if state.SpotExhausted[dc] {
+			room[dc] = min(most, count(engines, dc, false)+count(engines, dc, true))
+		}
+	}
+	shares, missing := spread(needed, room)
 	centres := make([]model.DataCentreID, 0, len(s.Prices))
 	for dc := range s.Prices {
 		centres = append(centres, dc)
 	}
 	slices.Sort(centres)
-	total := p.total(s)
+	var targets []Target
 	for _, dc := range centres {
+		// Cheap servers are asked for as if there were some, so that they come back
+		// once there are.
+		total := max(shares[dc], needed/len(centres))
 		ordinary := p.ordinary(total)
 		spot := total - ordinary
 		if s.SpotPrice <= 0 {
@@ -128,8 +185,9 @@
 			// as cheap ones.
 			ordinary = max(ordinary, min(count(engines, dc, false), total/2-count(engines, dc, true)))
 		}
-		if state.SpotExhausted[dc] {
-			ordinary = max(ordinary, int(p.Replaced*float64(total))-count(engines, dc, true))
+		if state.SpotExhausted[dc] && missing > 0 {
+			replaced := min(int(p.Replaced*float64(total)), room[dc]+missing)
+			ordinary = max(ordinary, replaced-count(engines, dc, true))
 		}
 		// Ordinary servers come first: those that are given back make room for cheap
 		// ones below the limit of both.
--- a/pkg/fleetplan/fleetplan_test.go
+++ b/pkg/fleetplan/fleetplan_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -170,3 +171,74 @@
 	assert.Equal(t, 1, desired(targets, "a", false))
 	assert.Equal(t, 11, desired(targets, "a", true))
 }
+
+var large = &catalog.Scaling{
+	Min: 1, Max: 60, SpotPrice: 0.22,
+	Prices: map[model.DataCentreID]float64{"a": 1, "b": 0.8, "c": 1.25},
+}
+
+func sum(targets []Target) int {
+	n := 0
+	for _, t := range targets {
+		n += t.Desired
+	}
+	return n
+}
+
+func TestNumberOfEnginesFollowsTheDemand(t *testing.T) {
+	p := DefaultPolicy()
+	assert.Equal(t, 180, sum(p.Scale(large, State{Idle: true})), "the demand is not known")
+	last := 0
+	for busy := 0.0; busy < 60; busy++ {
+		n := sum(p.Scale(large, State{Busy: busy, DemandKnown: true}))
+		assert.GreaterOrEqual(t, n, last)
+		assert.GreaterOrEqual(t, n, int(p.Least*180))
+		readers := (1 - p.DecodeShare) * float64(n)
+		if n < 180 {
+			assert.LessOrEqual(t, busy, p.BusyShare*readers, "%d engines", n)
+		}
+		last = n
+	}
+	assert.Equal(t, 180, last)
+}
+
+func TestOtherDataCentresMakeUpForOneWithoutCheapEngines(t *testing.T) {
+	p := DefaultPolicy()
+	state := State{Busy: 20, DemandKnown: true, SpotExhausted: map[model.DataCentreID]bool{"a": true}}
+	state.Engines = engines("a", 3, false, placement.StageDecode)
+	targets := p.Scale(large, state)
+	full := sum(p.Scale(large, State{Busy: 20, DemandKnown: true})) / 3
+	for _, dc := range []model.DataCentreID{"b", "c"} {
+		assert.Greater(t, desired(targets, dc, true)+desired(targets, dc, false), full+full/3)
+	}
+	assert.LessOrEqual(t, desired(targets, "a", false), p.ordinary(full)+1, "no ordinary engines are needed")
+	assert.Equal(t, full-p.ordinary(full), desired(targets, "a", true), "cheap ones are asked for again")
+}
+
+func TestDemandIsThePeakOfLate(t *testing.T) {
+	var d Demand
+	start := time.Unix(1000, 0)
+	work := time.Duration(0)
+	play := func(from, to time.Duration, busy float64) {
+		for at := from; at < to; at += 200 * time.Millisecond {
+			work += time.Duration(busy * 200 * float64(time.Millisecond))
+			d.Observe(work, start.Add(at))
+		}
+	}
+	play(0, 5*time.Second, 0)
+	_, known := d.Busy(start.Add(5 * time.Second))
+	assert.False(t, known, "nothing was sent")
+	play(5*time.Second, 20*time.Second, 20)
+	busy, known := d.Busy(start.Add(20 * time.Second))
+	assert.True(t, known)
+	assert.InDelta(t, 20, busy, 1)
+	play(20*time.Second, 26*time.Second, 40)
+	busy, _ = d.Busy(start.Add(26 * time.Second))
+	assert.InDelta(t, 39, busy, 2)
+	play(26*time.Second, 56*time.Second, 10)
+	busy, _ = d.Busy(start.Add(56 * time.Second))
+	assert.Greater(t, busy, 25.0, "a swing back does not give engines back at once")
+	play(56*time.Second, 300*time.Second, 10)
+	busy, _ = d.Busy(start.Add(300 * time.Second))
+	assert.InDelta(t, 10, busy, 1)
+}
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -48,6 +48,9 @@
 	Topics map[string]*mirror.Table
 	// Compose fills in the sender's part of a message.
 	Compose func(m *Message)
+	// CountsFor tells whether a peer needs the usage counts of a message. They are
+	// most of its bytes.
+	CountsFor func(peer string) bool
 	// Heard takes a message.
 	Heard func(m *Message)
 	// Clock takes a peer's time, measured at ours.
@@ -168,6 +171,16 @@
 	return message
 }
 
+// addressed returns a message as a peer gets it.
+func (m *Mesh) addressed(message *Message, host string) *Message {
+	if message.From.Stopped || m.deps.CountsFor(host) {
+		return message
+	}
+	short := *message
+	short.Counted, short.Counts = false, nil
+	return &short
+}
+
 func (m *Mesh) copies() map[string]Copy {
 	now := time.Now()
 	copies := make(map[string]Copy, len(m.deps.Topics))
@@ -225,7 +238,7 @@
 	target := s.Member
 	m.mu.Unlock()
 	before := m.deps.Now()
-	reply, err := peer.Call[Reply](ctx, m.client, target.Address, methodExchange, message)
+	reply, err := peer.Call[Reply](ctx, m.client, target.Address, methodExchange, m.addressed(message, target.Host))
 	after := m.deps.Now()
 	m.mu.Lock()
 	s.busy = false
@@ -362,6 +375,31 @@
 	return true
 }
 
+// Rank counts the live members whose names come before the host's own, in its
+// data centre only if near is set. Hosts that all could do the same take turns
+// by it.
+func (m *Mesh) Rank(near bool) int {
+	rank := 0
+	for _, l := range m.Live() {
+		if l.Host < m.deps.Self.Host && (!near || l.DataCentre == m.deps.Self.DataCentre) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Turn is the host's rank among the live hosts of its data centre, and their
+// number.
+func (m *Mesh) Turn() (rank, hosts int) {
+	hosts = 1
+	for _, l := range m.Live() {
+		if l.DataCentre == m.deps.Self.DataCentre {
+			hosts++
+		}
+	}
+	return m.Rank(true), hosts
+}
+
 // Interval is the pause between exchanges.
 func (m *Mesh) Interval() time.Duration {
 	m.mu.Lock()
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/redwingpath/redwingpath/pkg/mirror"
+	"github.com/redwingpath/redwingpath/pkg/usagewindow"
 )
 
 // node is a mesh with what it has heard.
@@ -24,6 +25,7 @@
 
 	mu      sync.Mutex
 	heard   map[string][]time.Time
+	counted map[string]int
 	changed []mirror.Record
 	lost    []string
 }
@@ -44,15 +46,21 @@
 
 func startNode(t *testing.T, name, listen string, seeds ...string) *node {
 	t.Helper()
-	n := &node{table: mirror.NewTable(nil), heard: map[string][]time.Time{}, done: make(chan struct{})}
+	n := &node{table: mirror.NewTable(nil), heard: map[string][]time.Time{}, counted: map[string]int{}, done: make(chan struct{})}
 	m, err := New(Deps{
 		Self: Member{Host: name, Incarnation: name + "1", Address: listen, DataCentre: "z"}, Seeds: seeds,
-		Topics:  map[string]*mirror.Table{"t": n.table},
-		Compose: func(*Message) {},
+		Topics: map[string]*mirror.Table{"t": n.table},
+		Compose: func(m *Message) {
+			m.Counted, m.Counts = true, []usagewindow.Line{{Window: 1, Organisation: "o", Requests: 1}}
+		},
+		CountsFor: func(peer string) bool { return peer == "a" },
 		Heard: func(m *Message) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			n.heard[m.From.Host] = append(n.heard[m.From.Host], time.Now())
+			if m.Counted {
+				n.counted[m.From.Host] += len(m.Counts)
+			}
 		},
 		Clock: func(string, time.Time, time.Time) {}, Now: time.Now,
 		Changed: func(_ string, r []mirror.Record) {
@@ -103,6 +111,39 @@
 	assert.Less(t, time.Since(started), time.Second)
 }
 
+// The counts are most of a message's bytes, which pass between data centres.
+func TestCountsGoToTheHostsThatNeedThemAndToAllAtTheEnd(t *testing.T) {
+	seed := address(t)
+	a := startNode(t, "a", seed)
+	b := startNode(t, "b", address(t), seed)
+	c := startNode(t, "c", address(t), seed)
+	require.Eventually(t, func() bool { return a.hears("c") > 1 && b.hears("c") > 1 }, 8*time.Second, 20*time.Millisecond)
+	counted := func(n *node) int {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.counted["c"]
+	}
+	assert.Positive(t, counted(a))
+	assert.Zero(t, counted(b))
+	c.stop()
+	<-c.done
+	assert.Equal(t, 1, counted(b), "the final message has them")
+}
+
+func TestRankCountsTheLiveMembersThatGoBefore(t *testing.T) {
+	seed := address(t)
+	a := startNode(t, "a", seed)
+	b := startNode(t, "b", address(t), seed)
+	c := startNode(t, "c", address(t), seed)
+	require.Eventually(t, func() bool { return len(a.Live()) == 2 && len(b.Live()) == 2 && len(c.Live()) == 2 }, 8*time.Second, 20*time.Millisecond)
+	assert.Equal(t, []int{0, 1, 2}, []int{a.Rank(true), b.Rank(false), c.Rank(true)})
+	rank, hosts := b.Turn()
+	assert.Equal(t, []int{1, 3}, []int{rank, hosts})
+	a.stop()
+	<-a.done
+	assert.Equal(t, 1, c.Rank(true))
+}
+
 func TestStoppedHostIsNotCountedAsLost(t *testing.T) {
 	seed := address(t)
 	a := startNode(t, "a", seed)
--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -49,6 +49,9 @@
 	Load    placement.Report
 	// Admitted is what the sender has admitted since it started.
 	Admitted map[model.OrganisationID]float64
+	// Counted tells that Counts are in the message. The final message of a host
+	// has them for all peers, others only for those that may report usage.
+	Counted bool
 	// Counts are the sender's counts of recent usage windows.
 	Counts  []usagewindow.Line
 	Holding Holding
--- a/pkg/mirror/follower.go
+++ b/pkg/mirror/follower.go
@@ -28,6 +28,12 @@
 	retryDelay = 200 * time.Millisecond
 	// retryDelayMost bounds the pause that grows with repeated failures.
 	retryDelayMost = 800 * time.Millisecond
+	// turnDelay lengthens the pause by each host that goes before. A host whose first
+	// four are turned away finds the store back after two seconds.
+	turnDelay = 400 * time.Millisecond
+	// turnDelayMost bounds the pause of hosts that many go before, to half of the
+	// time after which a host counts as in touch with the store again.
+	turnDelayMost = 2 * time.Second
 	// readTimeout bounds a read beyond the time that it waits. A slow store takes
 	// a quarter of a second.
 	readTimeout = 900 * time.Millisecond
@@ -47,6 +53,9 @@
 	// Idle tells whether peers keep the table up to date, so that this host need
 	// not read. It may be nil.
 	Idle func() bool
+	// Rank is the number of hosts that try to reach a lost store before this one
+	// does. It may be nil.
+	Rank func() int
 	// Changed takes the records that changed the table, in the goroutine of Run.
 	Changed func(records []Record)
 	// Lost and Back report the loss and return of the store.
@@ -79,11 +88,20 @@
 			return
 		}
 		f.failed(err)
-		f.pause(ctx, delay)
+		f.pause(ctx, f.turn(delay))
 		delay = min(2*delay, retryDelayMost)
 	}
 }
 
+// turn lengthens a pause for a host that others go before. They pass on what
+// they read, and each call to a store that is down is priced.
+func (f *Follower) turn(delay time.Duration) time.Duration {
+	if f.Rank == nil {
+		return delay
+	}
+	return min(delay+time.Duration(f.Rank())*turnDelay, max(delay, turnDelayMost))
+}
+
 func (f *Follower) pause(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -153,3 +153,24 @@
 	records, _, _ = table.Since(end)
 	require.Len(t, records, 1)
 }
+
+// Hosts of a data centre pass on what one of them reads, so that few of them need
+// to try while the store is down.
+func TestHostsTakeTurnsAtALostStore(t *testing.T) {
+	const hosts, outage = 30, 4 * time.Second
+	calls := 0
+	for rank := range hosts {
+		f := &Follower{Topic: "t", Table: NewTable(nil), Log: zap.NewNop(), Rank: func() int { return rank }}
+		delay := retryDelay
+		for at := time.Duration(0); at < outage; {
+			calls++
+			at += f.turn(delay)
+			delay = min(2*delay, retryDelayMost)
+		}
+	}
+	assert.LessOrEqual(t, calls, 100, "all of them trying each 800 ms make 180")
+	alone := &Follower{Rank: func() int { return 0 }}
+	assert.Equal(t, retryDelay, alone.turn(retryDelay))
+	last := &Follower{Rank: func() int { return 300 }}
+	assert.Equal(t, turnDelayMost, last.turn(retryDelay))
+}
--- a/pkg/placement/fleet.go
+++ b/pkg/placement/fleet.go
@@ -14,6 +14,7 @@
 	settings Settings
 	servers  map[model.BackendID]*server
 	services map[model.PoolName]*service
+	turn     turn
 	// sends are the own sends since the last report.
 	sends []Send
 }
@@ -21,15 +22,21 @@
 // service is what is learned of all servers of a service.
 type service struct {
 	servers []*server
+	// preferred tells that the servers' preferences are up to date.
+	preferred bool
 	// rates of reading, by stage. Unit: tokens per millisecond.
 	rates [3]float64
 	// first is the learned time from the end of reading to the first event.
 	first time.Duration
+	// work is the time of reading that all hosts have sent so far.
+	work time.Duration
 }
 
 // server is one backend server.
 type server struct {
 	Backend
+	// preference is the cost of an engine that other hosts prefer.
+	preference time.Duration
 	// busyUntil is when the work that all hosts have sent is expected to end.
 	busyUntil time.Time
 	parts     partCache
@@ -51,7 +58,7 @@
 
 // NewFleet returns an empty fleet.
 func NewFleet(s Settings) *Fleet {
-	return &Fleet{settings: s, servers: map[model.BackendID]*server{}, services: map[model.PoolName]*service{}}
+	return &Fleet{settings: s, servers: map[model.BackendID]*server{}, services: map[model.PoolName]*service{}, turn: turn{hosts: 1}}
 }
 
 // Update adds a server or changes it.
@@ -69,6 +76,9 @@
 		k := f.service(b.Service)
 		k.servers = append(k.servers, s)
 	}
+	if s.Backend.Stage != b.Stage || s.Backend.Leaving != b.Leaving || s.ID == "" {
+		f.service(b.Service).preferred = false
+	}
 	s.Backend = b
 	if b.Engine != nil {
 		s.parts.limit = int(cacheShare * float64(b.Engine.CacheTokens))
@@ -103,6 +113,7 @@
 func (f *Fleet) remove(s *server) {
 	delete(f.servers, s.ID)
 	k := f.services[s.Service]
+	k.preferred = false
 	k.servers = slices.DeleteFunc(k.servers, func(o *server) bool { return o == s })
 }
 
--- a/pkg/placement/load_test.go
+++ b/pkg/placement/load_test.go
@@ -122,6 +122,8 @@
 type outcomeOfLoad struct {
 	inTime [3]float64
 	all    float64
+	// pairs counts the hosts and engines that were connected.
+	pairs int
 }
 
 // event is something that a host learns at a time.
@@ -130,6 +132,11 @@
 	do func(now time.Time)
 }
 
+// String implements fmt.Stringer.
+func (o outcomeOfLoad) String() string {
+	return fmt.Sprintf("{in time %.3f, by kind %.3f, connected pairs %d}", o.all, o.inTime, o.pairs)
+}
+
 type events []event
 
 func (e events) Len() int           { return len(e) }
@@ -148,11 +155,16 @@
 // playFleets plays a load at hosts that place by Fleet and exchange reports at
 // an interval.
 func playFleets(load []loadRequest, engines map[model.BackendID]*trueEngine, hosts int, interval time.Duration) outcomeOfLoad {
+	return playSettings(load, engines, hosts, interval, DefaultSettings())
+}
+
+func playSettings(load []loadRequest, engines map[model.BackendID]*trueEngine, hosts int, interval time.Duration, s Settings) outcomeOfLoad {
 	fleets := make([]*Fleet, hosts)
+	used := map[[2]string]bool{}
 	for i := range fleets {
-		s := DefaultSettings()
 		s.DataCentre = model.DataCentreID(fmt.Sprint("z", i%3))
 		fleets[i] = NewFleet(s)
+		fleets[i].SetTurn(i/3, (hosts-i%3+2)/3)
 		for _, e := range engines {
 			fleets[i].Update(e.backend)
 		}
@@ -180,7 +192,8 @@
 			e := heap.Pop(&queue).(event)
 			e.do(epoch.Add(e.at))
 		}
-		f := fleets[r.IntN(hosts)]
+		host := r.IntN(hosts)
+		f := fleets[host]
 		now := epoch.Add(q.at)
 		request := &Request{Service: "m", Parts: q.parts, PromptTokens: q.prompt}
 		plan, ok := f.Place(request, now)
@@ -188,6 +201,8 @@
 			continue
 		}
 		ticket := f.Send(plan, request, now)
+		used[[2]string{fmt.Sprint(host), string(plan.Run.ID)}] = true
+		used[[2]string{fmt.Sprint(host), string(plan.Reader().ID)}] = true
 		kept, at := 0, q.at
 		if plan.Fetch != nil {
 			kept = engines[plan.Fetch.ID].cache.prefix(shared(q.parts))
@@ -207,7 +222,9 @@
 		heap.Push(&queue, event{done + 500*time.Millisecond, func(now time.Time) { f.Done(ticket, Served, now) }})
 		first[n] = done - q.at
 	}
-	return judgeLoad(load, first)
+	o := judgeLoad(load, first)
+	o.pairs = len(used)
+	return o
 }
 
 // playAffinity is the baseline: every prompt goes to the home of its shared parts
@@ -266,7 +283,7 @@
 		ours := playFleets(load, newEngines(24, 10), 8, 200*time.Millisecond)
 		affinity := playAffinity(load, newEngines(0, 34))
 		least := playLeastQueued(load, newEngines(0, 34))
-		t.Logf("seed %d: placed %.3f, affinity %.3f, least queued %.3f", seed, ours, affinity, least)
+		t.Logf("seed %d: placed %s, affinity %s, least queued %s", seed, ours, affinity, least)
 		assert.Greater(t, ours.all, 0.9)
 		assert.Greater(t, ours.all, affinity.all+0.05)
 		assert.Greater(t, ours.all, least.all+0.05)
@@ -280,7 +297,7 @@
 	load := swingingLoad(7, 20*time.Second, 1.1)
 	ours := playFleets(load, newEngines(18, 7), 8, 200*time.Millisecond)
 	affinity := playAffinity(load, newEngines(0, 25))
-	t.Logf("placed %.3f, affinity %.3f", ours, affinity)
+	t.Logf("placed %s, affinity %s", ours, affinity)
 	assert.Greater(t, ours.all, affinity.all)
 	for kind, share := range ours.inTime {
 		assert.Greater(t, share, 0.25*ours.all, "kind %d", kind)
@@ -290,6 +307,39 @@
 func TestManyHostsWithOldReportsServeInTime(t *testing.T) {
 	load := swingingLoad(11, 10*time.Second, 3)
 	ours := playFleets(load, newEngines(72, 30), 64, 600*time.Millisecond)
-	t.Logf("placed %.3f", ours)
+	t.Logf("placed %s", ours)
 	assert.Greater(t, ours.all, 0.9)
 }
+
+// The load of many small hosts, each of which sends to an engine every few seconds:
+// where little else decides, a host returns to the engines that it is connected to.
+func TestHostsWithPreferencesUseFewerConnections(t *testing.T) {
+	load := swingingLoad(20, 5*time.Second, 2)
+	s := DefaultSettings()
+	with := playSettings(load, newEngines(63, 27), 88, 600*time.Millisecond, s)
+	s.Preference, s.CrossDataCentre = 0, 0
+	without := playSettings(load, newEngines(63, 27), 88, 600*time.Millisecond, s)
+	t.Logf("with preferences %s, without %s", with, without)
+	assert.Less(t, float64(with.pairs), 0.8*float64(without.pairs))
+	assert.Greater(t, with.all, without.all-0.01)
+}
+
+func TestWorkCountsWhatAllHostsHaveSent(t *testing.T) {
+	a, b := NewFleet(DefaultSettings()), NewFleet(DefaultSettings())
+	for _, e := range newEngines(2, 1) {
+		a.Update(e.backend)
+		b.Update(e.backend)
+	}
+	for _, f := range []*Fleet{a, b} {
+		request := &Request{Service: "m", Parts: []Part{{1, 9000}, {2, 1000}}, PromptTokens: 10000}
+		plan, ok := f.Place(request, epoch)
+		assert.True(t, ok)
+		f.Send(plan, request, epoch)
+	}
+	own := a.Work("m")
+	assert.Positive(t, own)
+	a.Hear("b", b.Report(), epoch)
+	assert.InDelta(t, float64(2*own), float64(a.Work("m")), float64(time.Microsecond))
+	a.Hear("b", b.Report(), epoch)
+	assert.InDelta(t, float64(2*own), float64(a.Work("m")), float64(time.Microsecond), "each send is told once")
+}
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -17,6 +17,7 @@
 	if k == nil {
 		return Plan{}, false
 	}
+	f.prefer(k)
 	for _, strict := range []bool{true, false} {
 		if plan, ok := f.place(k, r, strict, now); ok {
 			return plan, true
@@ -73,8 +74,9 @@
 	return d.fleet.settings.CrossDataCentre
 }
 
+// penalty is the part of a server's cost that does not depend on the request.
 func (d *decision) penalty(s *server) time.Duration {
-	return time.Duration(s.failures * float64(d.fleet.settings.FailurePenalty))
+	return s.preference + time.Duration(s.failures*float64(d.fleet.settings.FailurePenalty))
 }
 
 // plainWork is the expected time of a plain call for the order of servers.
--- a/pkg/placement/report.go
+++ b/pkg/placement/report.go
@@ -57,6 +57,7 @@
 	for _, send := range r.Sends {
 		if s := f.servers[send.Backend]; s != nil {
 			s.occupy(fromMillis(send.WorkMS), now)
+			f.service(s.Service).work += fromMillis(send.WorkMS)
 			s.parts.add(send.Parts)
 		}
 	}
--- a/pkg/placement/summary.go
+++ b/pkg/placement/summary.go
@@ -24,6 +24,17 @@
 	return running, slots
 }
 
+// Work is the time of reading that all hosts have sent to the engines of a service
+// so far.
+func (f *Fleet) Work(name model.PoolName) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if k := f.services[name]; k != nil {
+		return k.work
+	}
+	return 0
+}
+
 func (s *server) load() int {
 	n := s.running
 	for _, peer := range s.peers {
--- a/pkg/placement/ticket.go
+++ b/pkg/placement/ticket.go
@@ -38,6 +38,7 @@
 	t.idle = !reader.busyUntil.After(now)
 	reader.occupy(p.work, now)
 	reader.unread += p.work
+	f.service(reader.Service).work += p.work
 	t.due = reader.busyUntil
 	reader.parts.add(r.Parts)
 	if reader.Engine != nil {
@@ -188,6 +189,7 @@
 	f.hasRead(t)
 	left := min(t.plan.work, max(0, t.due.Sub(now)))
 	reader.occupy(-left, now)
+	f.service(reader.Service).work -= left
 	f.note(Send{Backend: reader.ID, WorkMS: -millis(left)})
 }
 
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -136,12 +136,19 @@
 	FailurePenalty time.Duration
 	// HopPenalty is the cost of a second call. Unit: duration. Default: 8ms.
 	HopPenalty time.Duration
+	// Preference is the cost of an engine that other hosts prefer: the wait that is
+	// due to requests of theirs that this host has not heard of. Unit: duration.
+	// Default: 30ms.
+	Preference time.Duration
+	// PreferenceReach is the number of hosts nearer to an engine from which the cost
+	// is full. Default: 4.
+	PreferenceReach float64
 }
 
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
 	return Settings{
-		CrossDataCentre:  2 * time.Millisecond,
+		CrossDataCentre:  6 * time.Millisecond,
 		FirstEvent:       60 * time.Millisecond,
 		TransferSetup:    6 * time.Millisecond,
 		PrefillRate:      100,
@@ -152,5 +159,7 @@
 		HomeShare:        0.5,
 		FailurePenalty:   2 * time.Second,
 		HopPenalty:       8 * time.Millisecond,
+		Preference:       30 * time.Millisecond,
+		PreferenceReach:  4,
 	}
 }
