--- a/pkg/gateway/report.go
+++ b/pkg/gateway/report.go
@@ -63,6 +63,9 @@
 	if c.route != nil {
 		fields = append(fields, zap.String("route", c.route.Name), zap.Uint64("configuration", c.catalog.Version))
 	}
+	if c.head.Sized {
+		fields = append(fields, zap.Int("prompt", c.head.PromptTokens))
+	}
 	if c.org != nil {
 		fields = append(fields, zap.String("organisation", string(c.org.ID)), zap.Float64("cost", c.cost))
 	}
