Let hosts that prefer the same engines tell each other their load every 100 ms

A prompt occupies one for 100 ms, and of 88 hosts each hears of it 0.6 s later: prompts were read at 24 tokens a millisecond instead of 100 while the predicted wait was 0 to 18 ms. Ruled out: too few engines. Exchanges of all hosts every 100 ms would be 870 messages a second a host, so that only the ten next by name tell each other, and engines that others prefer cost more.

--- a/pkg/edgehost/exchange.go
+++ b/pkg/edgehost/exchange.go
@@ -18,6 +18,8 @@
 		Compose:   h.compose,
 		CountsFor: h.mayReport,
 		Heard:     h.heard,
+		Load:      h.fleet.Current,
+		HeardLoad: h.fleet.HearLoad,
 		Clock: func(peer string, theirs, ours time.Time) {
 			if d := h.clock.Observe(peer, theirs, ours); d != 0 {
 				h.log.Warn("time of day corrected by the peers", zap.Duration("by", d))
--- a/pkg/edgehost/run.go
+++ b/pkg/edgehost/run.go
@@ -156,7 +156,8 @@
 		case now := <-ticker.C:
 			h.registry.hear(h.tables[TopicBackends].Heard())
 			h.registry.sweep(now)
-			h.fleet.SetTurn(h.mesh.Turn())
+			rank, hosts := h.mesh.Turn()
+			h.fleet.SetTurn(rank, hosts, h.mesh.Interval())
 			h.pool.Sweep(now)
 			for _, t := range h.tables {
 				t.Trim(now)
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -11,6 +11,7 @@
 
 	"github.com/redwingpath/redwingpath/pkg/mirror"
 	"github.com/redwingpath/redwingpath/pkg/peer"
+	"github.com/redwingpath/redwingpath/pkg/placement"
 )
 
 // Names of the rpc service.
@@ -51,6 +52,9 @@
 	// CountsFor tells whether a peer needs the usage counts of a message. They are
 	// most of its bytes.
 	CountsFor func(peer string) bool
+	// Load is the host's load at engines, HeardLoad takes a near host's.
+	Load      func() placement.Load
+	HeardLoad func(host string, l placement.Load)
 	// Heard takes a message.
 	Heard func(m *Message)
 	// Clock takes a peer's time, measured at ours.
@@ -87,6 +91,8 @@
 	readAt time.Time
 	busy   bool
 	lost   bool
+	// telling is set while a message with the load is under way.
+	telling bool
 }
 
 // New returns a mesh that listens at an address.
@@ -118,6 +124,7 @@
 			m.deps.Log.Error("the listener for peers failed", zap.Error(err))
 		}
 	}()
+	go m.runNear(ctx)
 	for ctx.Err() == nil {
 		m.round(ctx)
 	}
--- a/pkg/placement/load_test.go
+++ b/pkg/placement/load_test.go
@@ -155,16 +155,18 @@
 // playFleets plays a load at hosts that place by Fleet and exchange reports at
 // an interval.
 func playFleets(load []loadRequest, engines map[model.BackendID]*trueEngine, hosts int, interval time.Duration) outcomeOfLoad {
-	return playSettings(load, engines, hosts, interval, DefaultSettings())
+	return playSettings(load, engines, hosts, interval, 0, DefaultSettings())
 }
 
-func playSettings(load []loadRequest, engines map[model.BackendID]*trueEngine, hosts int, interval time.Duration, s Settings) outcomeOfLoad {
+// playSettings is playFleets with settings. near hosts before and after each host
+// in its data centre hear its load every 100 ms besides.
+func playSettings(load []loadRequest, engines map[model.BackendID]*trueEngine, hosts int, interval time.Duration, near int, s Settings) outcomeOfLoad {
 	fleets := make([]*Fleet, hosts)
 	used := map[[2]string]bool{}
 	for i := range fleets {
 		s.DataCentre = model.DataCentreID(fmt.Sprint("z", i%3))
 		fleets[i] = NewFleet(s)
-		fleets[i].SetTurn(i/3, (hosts-i%3+2)/3)
+		fleets[i].SetTurn(i/3, (hosts-i%3+2)/3, interval)
 		for _, e := range engines {
 			fleets[i].Update(e.backend)
 		}
@@ -184,7 +186,24 @@
 			heap.Push(&queue, event{now.Sub(epoch) + interval, exchange(i)})
 		}
 	}
+	const dataCentres, nearInterval = 3, 100 * time.Millisecond
+	var tellLoad func(i int) func(time.Time)
+	tellLoad = func(i int) func(time.Time) {
+		return func(now time.Time) {
+			l := fleets[i].Current()
+			circle := (hosts - i%dataCentres + dataCentres - 1) / dataCentres
+			for d := -near; d <= near; d++ {
+				if j := (i/dataCentres+d+circle)%circle*dataCentres + i%dataCentres; j != i {
+					fleets[j].HearLoad(fmt.Sprint("h", i), l)
+				}
+			}
+			heap.Push(&queue, event{now.Sub(epoch) + nearInterval, tellLoad(i)})
+		}
+	}
 	for i := range fleets {
+		if near > 0 {
+			heap.Push(&queue, event{nearInterval * time.Duration(i) / time.Duration(hosts), tellLoad(i)})
+		}
 		heap.Push(&queue, event{interval * time.Duration(i) / time.Duration(hosts), exchange(i)})
 	}
 	for n, q := range load {
@@ -316,9 +335,9 @@
 func TestHostsWithPreferencesUseFewerConnections(t *testing.T) {
 	load := swingingLoad(20, 5*time.Second, 2)
 	s := DefaultSettings()
-	with := playSettings(load, newEngines(63, 27), 88, 600*time.Millisecond, s)
+	with := playSettings(load, newEngines(63, 27), 88, 600*time.Millisecond, 0, s)
 	s.Preference, s.CrossDataCentre = 0, 0
-	without := playSettings(load, newEngines(63, 27), 88, 600*time.Millisecond, s)
+	without := playSettings(load, newEngines(63, 27), 88, 600*time.Millisecond, 0, s)
 	t.Logf("with preferences %s, without %s", with, without)
 	assert.Less(t, float64(with.pairs), 0.8*float64(without.pairs))
 	assert.Greater(t, with.all, without.all-0.01)
@@ -343,3 +362,44 @@
 	a.Hear("b", b.Report(), epoch)
 	assert.InDelta(t, float64(2*own), float64(a.Work("m")), float64(time.Microsecond), "each send is told once")
 }
+
+// The load of 88 small hosts after two data centres have lost their cheap engines:
+// half of the reading engines are busy, and a request is over before all hosts
+// have heard of it.
+func TestNearHostsThatTellTheirLoadServeMoreInTime(t *testing.T) {
+	load := swingingLoad(20, 4*time.Second, 3.3)
+	s := DefaultSettings()
+	with := playSettings(load, newEngines(63, 27), 88, 650*time.Millisecond, 5, s)
+	s.Preference = 0
+	without := playSettings(load, newEngines(63, 27), 88, 650*time.Millisecond, 0, s)
+	t.Logf("near hosts tell their load %s, all hosts exchange only %s", with, without)
+	assert.Greater(t, with.all, 0.9)
+	assert.Greater(t, with.all, without.all+0.1)
+	for kind, share := range with.inTime {
+		assert.Greater(t, share, without.inTime[kind], "kind %d", kind)
+	}
+}
+
+func TestPreferenceGrowsWithTheHostsThatAreNearerAndTheIntervalOfExchanges(t *testing.T) {
+	f := NewFleet(DefaultSettings())
+	for _, e := range newEngines(30, 0) {
+		f.Update(e.backend)
+	}
+	cost := func(id model.BackendID) time.Duration {
+		f.prefer(f.services["m"])
+		return f.servers[id].preference
+	}
+	assert.Zero(t, cost("e00"), "a host that has met no others prefers nothing")
+	// Ten engines in each data centre for ten hosts.
+	f.SetTurn(0, 10, time.Second)
+	assert.Zero(t, cost("e00"))
+	assert.InDelta(t, float64(f.settings.Preference/4), float64(cost("e03")), 1000, "the next on the circle")
+	assert.InDelta(t, float64(f.settings.Preference/4), float64(cost("e27")), 1000, "the one before on the circle")
+	assert.Equal(t, f.settings.Preference, cost("e15"))
+	f.SetTurn(0, 10, 200*time.Millisecond)
+	assert.InDelta(t, float64(f.settings.Preference/3), float64(cost("e15")), 1000)
+	gone := f.servers["e00"].Backend
+	f.Remove(gone.ID)
+	assert.Positive(t, cost("e15"))
+	assert.InDelta(t, 0.0, float64(cost("e03")), float64(f.settings.Preference)/4, "the next takes the place of one that is gone")
+}
--- a/pkg/placement/preference.go
+++ b/pkg/placement/preference.go
@@ -10,20 +10,23 @@
 )
 
 // Hosts learn of each other's requests only at their next exchange, which takes
-// longer the more hosts there are. So each host prefers a few engines that few
-// others prefer: there it knows the queue, and it keeps its connections.
+// longer the more hosts there are. So each host prefers engines that few others
+// prefer, and these tell each other their load more often: there it knows the
+// queue, and it keeps its connections.
 
 // turn is a host's place among the hosts of its data centre.
 type turn struct {
 	rank, hosts int
+	// interval is the time between two exchanges with all hosts.
+	interval time.Duration
 }
 
-// SetTurn tells the host's rank among the hosts of its data centre, and their
-// number.
-func (f *Fleet) SetTurn(rank, hosts int) {
+// SetTurn tells the host's rank among the hosts of its data centre, their number,
+// and the interval at which all hosts exchange their load.
+func (f *Fleet) SetTurn(rank, hosts int, interval time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if t := (turn{rank, max(hosts, 1)}); t != f.turn {
+	if t := (turn{rank, max(hosts, 1), interval}); t != f.turn {
 		f.turn = t
 		for _, k := range f.services {
 			k.preferred = false
@@ -50,13 +53,14 @@
 			circles[c] = append(circles[c], s)
 		}
 	}
+	most := float64(f.settings.Preference) * min(1, float64(f.turn.interval)/float64(f.settings.PreferenceInterval))
 	own := (float64(f.turn.rank) + 0.5) / float64(f.turn.hosts)
 	for _, list := range circles {
 		slices.SortFunc(list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 		for i, s := range list {
 			away := math.Abs((float64(i)+0.5)/float64(len(list)) - own)
 			hosts := min(away, 1-away) * float64(f.turn.hosts)
-			s.preference = time.Duration(min(1, hosts/f.settings.PreferenceReach) * float64(f.settings.Preference))
+			s.preference = time.Duration(min(1, hosts/f.settings.PreferenceReach) * most)
 		}
 	}
 }
--- a/pkg/placement/report.go
+++ b/pkg/placement/report.go
@@ -15,15 +15,21 @@
 	Parts []Part
 }
 
-// Report is what a host tells its peers.
-type Report struct {
-	Sends []Send
+// Load is what a host has at servers at a moment.
+type Load struct {
 	// Running counts the host's requests by server.
 	Running map[model.BackendID]int
 	// UnreadMS is the host's work that engines have not done. Unit: milliseconds.
 	UnreadMS map[model.BackendID]float64
 }
 
+// Report is what a host tells its peers.
+type Report struct {
+	// Sends are those since the last report.
+	Sends []Send
+	Load
+}
+
 // sendsMost bounds the sends that wait for a report.
 const sendsMost = 512
 
@@ -37,17 +43,29 @@
 func (f *Fleet) Report() Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r := Report{Sends: f.sends, Running: map[model.BackendID]int{}, UnreadMS: map[model.BackendID]float64{}}
+	r := Report{Sends: f.sends, Load: f.load()}
 	f.sends = nil
+	return r
+}
+
+// Current is what the host has at servers now.
+func (f *Fleet) Current() Load {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.load()
+}
+
+func (f *Fleet) load() Load {
+	l := Load{Running: map[model.BackendID]int{}, UnreadMS: map[model.BackendID]float64{}}
 	for id, s := range f.servers {
 		if s.running > 0 {
-			r.Running[id] = s.running
+			l.Running[id] = s.running
 		}
 		if s.unread > 0 && s.Engine != nil {
-			r.UnreadMS[id] = millis(s.unread)
+			l.UnreadMS[id] = millis(s.unread)
 		}
 	}
-	return r
+	return l
 }
 
 // Hear takes a peer's report.
@@ -61,13 +79,24 @@
 			s.parts.add(send.Parts)
 		}
 	}
+	f.hearLoad(peer, r.Load)
+}
+
+// HearLoad takes what a peer has at servers now.
+func (f *Fleet) HearLoad(peer string, l Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hearLoad(peer, l)
+}
+
+func (f *Fleet) hearLoad(peer string, l Load) {
 	for id, s := range f.servers {
-		if n := r.Running[id]; n > 0 {
+		if n := l.Running[id]; n > 0 {
 			s.peers[peer] = n
 		} else {
 			delete(s.peers, peer)
 		}
-		if ms := r.UnreadMS[id]; ms > 0 {
+		if ms := l.UnreadMS[id]; ms > 0 {
 			s.unreadPeers[peer] = fromMillis(ms)
 		} else {
 			delete(s.unreadPeers, peer)
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -138,8 +138,12 @@
 	HopPenalty time.Duration
 	// Preference is the cost of an engine that other hosts prefer: the wait that is
 	// due to requests of theirs that this host has not heard of. Unit: duration.
-	// Default: 30ms.
+	// Default: 60ms.
 	Preference time.Duration
+	// PreferenceInterval is the interval of exchanges from which the cost is whole:
+	// about six times the reading of a prompt. It is in proportion below. Unit:
+	// duration. Default: 600ms.
+	PreferenceInterval time.Duration
 	// PreferenceReach is the number of hosts nearer to an engine from which the cost
 	// is full. Default: 4.
 	PreferenceReach float64
@@ -159,7 +163,9 @@
 		HomeShare:        0.5,
 		FailurePenalty:   2 * time.Second,
 		HopPenalty:       8 * time.Millisecond,
-		Preference:       30 * time.Millisecond,
+		Preference:       60 * time.Millisecond,
 		PreferenceReach:  4,
+
+		PreferenceInterval: 600 * time.Millisecond,
 	}
 }
