--- a/pkg/edgehost/host.go
+++ b/pkg/edgehost/host.go
@@ -97,13 +97,15 @@
 		forget: func(address string) { h.pool.Condemn(address) }, bad: h.metrics.badRecords.Inc,
 		kick: func() { h.mesh.Kick() },
 	}
-	h.duties = &duty.Keeper{Host: h.self.Host, Incarnation: h.self.Incarnation, Log: h.calls.DutyLog(), Logger: log}
+	h.duties = &duty.Keeper{
+		Host: h.self.Host, Incarnation: h.self.Incarnation, Log: h.calls.DutyLog(), Logger: log,
+		Rank: func() int { return h.mesh.Rank(false) },
+	}
 	h.follow(TopicConfiguration, configurationWait, 0)
 	h.follow(TopicBackends, 0, backendsInterval)
 	if err := h.newMesh(); err != nil {
 		return nil, err
 	}
-	h.duties.Rank = func() int { return h.mesh.Rank(false) }
 	serving := gateway.DefaultSettings()
 	serving.RetryRatio = retryShare * s.RetryRatio
 	serving.RetryWindow = s.RetryWindow
--- a/pkg/fleetplan/demand.go
+++ b/pkg/fleetplan/demand.go
@@ -22,10 +22,12 @@
 
 // Demand measures how many engines the reading of prompts keeps busy.
 type Demand struct {
-	at    time.Time
-	work  time.Duration
-	rate  float64
-	peak  float64
+	// at and work are the time of the last sample and the work until then.
+	at   time.Time
+	work time.Duration
+	// rate is the smoothed number of busy engines, peak its highest value of late.
+	rate, peak float64
+	// since is when the first work came.
 	since time.Time
 }
 
@@ -33,7 +35,7 @@
 func (d *Demand) Observe(work time.Duration, now time.Time) {
 	passed := now.Sub(d.at)
 	if d.at.IsZero() || work < d.work {
-		// The count begins anew, for instance with another service.
+		// Work is taken back when requests end before their prompt was read.
 		d.at, d.work = now, work
 		return
 	}
--- a/pkg/fleetplan/fleetplan.go
+++ b/pkg/fleetplan/fleetplan.go
@@ -59,8 +59,11 @@
 
 // DefaultPolicy returns the defaults.
 func DefaultPolicy() Policy {
-	return Policy{Total: 1, Least: 0.5, BusyShare: 0.3, Step: 1.0 / 12, Ordinary: 1.0 / 12, Replaced: 0.6, DecodeShare: 0.3, DecodeLeast: 2, DecodeMost: 0.6,
-		Filled: 0.55, Places: 64, Slack: 0.12, Changes: 0.34}
+	return Policy{
+		Total: 1, Least: 0.5, BusyShare: 0.3, Step: 1.0 / 12, Ordinary: 1.0 / 12, Replaced: 0.6,
+		DecodeShare: 0.3, DecodeLeast: 2, DecodeMost: 0.6,
+		Filled: 0.55, Places: 64, Slack: 0.12, Changes: 0.34,
+	}
 }
 
 // Engine is one engine as the planner sees it.
