Let those that wait to deliver log entries give up with their context

Cause: the soundness test with random pauses of the control goroutine hung. The reader and the peers of a follower waited for a mutex that was held while the control goroutine took a delivery. In virtual time a goroutine that waits for a mutex stops the clock, so that the pause never ended; on the machine such a goroutine waits on after its caller has given up. Ruled out: a deadlock of the control goroutine itself, which was asleep. Conclusion: deliveries are serialised by a semaphore with the context.

--- a/pkg/control/soundness_test.go
+++ b/pkg/control/soundness_test.go
@@ -32,6 +32,15 @@
 	mu       sync.Mutex
 	accepted []acceptedChange
 	serial   int
+	// pauses lets the control goroutine of a host stand still for up to 4 s.
+	pauses bool
+}
+
+// pause holds the control goroutine of a host, as the scheduler of a busy machine
+// may.
+func (c *chaos) pause(h *simHost) {
+	length := time.Duration(c.random.IntN(4000)) * time.Millisecond
+	go func() { _ = h.do(context.Background(), func() { time.Sleep(length) }) }()
 }
 
 func (c *chaos) operator(h *simHost) {
@@ -62,6 +71,10 @@
 
 func (c *chaos) step() {
 	h := c.anyHost()
+	if c.pauses && c.random.IntN(6) == 0 {
+		c.pause(h)
+		return
+	}
 	switch c.random.IntN(14) {
 	case 0, 1:
 		c.partition(c.random.IntN(2), h.id)
@@ -107,10 +120,10 @@
 	return nil
 }
 
-func runChaos(t *testing.T, seed uint64) (accepted int, err error) {
+func runChaos(t *testing.T, seed uint64, pauses bool) (accepted int, err error) {
 	synctest.Test(t, func(t *testing.T) {
 		random := rand.New(rand.NewPCG(seed, 1))
-		c := &chaos{cluster: newCluster(t, 3+int(seed%3), nil), random: random}
+		c := &chaos{cluster: newCluster(t, 3+int(seed%3), nil), random: random, pauses: pauses}
 		c.awaitEstablished()
 		c.cluster.mu.Lock()
 		c.cluster.random = rand.New(rand.NewPCG(seed, 2))
@@ -135,7 +148,7 @@
 func TestFreshHostsHaveAcceptedChanges(t *testing.T) {
 	total := 0
 	for seed := range uint64(8) {
-		accepted, err := runChaos(t, seed)
+		accepted, err := runChaos(t, seed, false)
 		require.NoError(t, err, "seed %d", seed)
 		total += accepted
 	}
@@ -176,3 +189,15 @@
 func TestSoundnessCheckNoticesIgnoredOffsets(t *testing.T) {
 	require.Error(t, runStraggler(t, func(r *peer.VouchReply) { r.Offset = 0 }))
 }
+
+// Guards against the same with hosts whose control goroutine stands still at any
+// time, also while peers and the reader of the log deliver entries to it.
+func TestFreshHostsHaveAcceptedChangesAfterPauses(t *testing.T) {
+	total := 0
+	for seed := range uint64(8) {
+		accepted, err := runChaos(t, 100+seed, true)
+		require.NoError(t, err, "seed %d", 100+seed)
+		total += accepted
+	}
+	require.Greater(t, total, 8)
+}
--- a/pkg/follower/follower.go
+++ b/pkg/follower/follower.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/oklog/ulid/v2"
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 	"golang.org/x/time/rate"
 
 	"github.com/redwingpath/redwingpath/pkg/logrec"
@@ -94,8 +96,9 @@
 	config  Config
 	limiter *rate.Limiter
 
-	// deliver serialises deliveries of the reader and of peers.
-	deliver sync.Mutex
+	// deliver serialises deliveries of the reader and of peers. Those that wait for
+	// it give up with their context, since the sink may take long.
+	deliver *semaphore.Weighted
 	next    model.Offset
 	started bool
 	// atEnd tells that the last read reached the end of the log.
@@ -128,6 +131,7 @@
 	return &Follower{
 		config:  c,
 		limiter: rate.NewLimiter(rate.Limit(c.AppendsPerSecond), 1),
+		deliver: semaphore.NewWeighted(1),
 		next:    1,
 		waiting: map[string]*call{},
 		wake:    make(chan struct{}, 1),
@@ -156,8 +160,10 @@
 // Offer delivers entries that a peer passed on. It tells whether the batch
 // connects to what this host has; a batch that starts later is dropped.
 func (f *Follower) Offer(ctx context.Context, b Batch) (bool, error) {
-	f.deliver.Lock()
-	defer f.deliver.Unlock()
+	if err := f.deliver.Acquire(ctx, 1); err != nil {
+		return false, eris.Wrap(err, "wait for another delivery")
+	}
+	defer f.deliver.Release(1)
 	if !f.started || b.From > f.next {
 		return false, nil
 	}
--- a/pkg/follower/reader.go
+++ b/pkg/follower/reader.go
@@ -35,9 +35,11 @@
 
 // step does one read, or the start if it has not succeeded yet.
 func (f *Follower) step(ctx context.Context) error {
-	f.deliver.Lock()
+	if err := f.deliver.Acquire(ctx, 1); err != nil {
+		return eris.Wrap(err, "wait for another delivery")
+	}
 	started, from := f.started, f.next
-	f.deliver.Unlock()
+	f.deliver.Release(1)
 	if !started {
 		return f.start(ctx)
 	}
@@ -53,15 +55,18 @@
 	sent := time.Now()
 	response, err := f.config.Log.Read(ctx, from, readLimit, f.config.ReadWait)
 	if err != nil {
-		f.deliver.Lock()
-		defer f.deliver.Unlock()
-		f.atEnd = false
+		if f.deliver.Acquire(ctx, 1) == nil {
+			f.atEnd = false
+			f.deliver.Release(1)
+		}
 		return err
 	}
 	f.answered()
 	batch := batchOf(from, response)
-	f.deliver.Lock()
-	defer f.deliver.Unlock()
+	if err := f.deliver.Acquire(ctx, 1); err != nil {
+		return eris.Wrap(err, "wait for another delivery")
+	}
+	defer f.deliver.Release(1)
 	if batch.From > f.next {
 		return nil
 	}
@@ -143,8 +148,10 @@
 }
 
 func (f *Follower) startAt(ctx context.Context, tables *state.Tables) error {
-	f.deliver.Lock()
-	defer f.deliver.Unlock()
+	if err := f.deliver.Acquire(ctx, 1); err != nil {
+		return eris.Wrap(err, "wait for another delivery")
+	}
+	defer f.deliver.Release(1)
 	if f.started && tables.Offset() < f.next {
 		// Peers have brought the host further in the meantime.
 		return nil
