Place requests that were beside a crash apart from each other

Cause: a crash counts against all requests that ran on the engine. Those that share a prefix were sent on to the same next engine together with the one that crashes engines, and were refused beside it after the second crash. Ruled out: the count itself (each crash counts once a request) and the probe that tells a broken connection from a crash. Before and after: in the test with four innocent requests beside one that crashes two engines of 20, at least twice as many meet it again without the placement by hash, and no more than one in ten with it. Conclusion: the digest of a request that saw a crash decides its engine.

--- a/pkg/entry/admit.go
+++ b/pkg/entry/admit.go
@@ -41,6 +41,7 @@
 			return nil, err
 		}
 		defer release()
+		h.keepApart(c, time.Now())
 		decision, err := h.deps.Router.Select(&c.request, time.Now())
 		if err != nil {
 			return nil, h.noBackend()
@@ -101,6 +102,7 @@
 	if failed != "" && !slices.Contains(c.request.Exclude, failed) {
 		c.request.Exclude = append(c.request.Exclude, failed)
 	}
+	h.keepApart(c, time.Now())
 	decision, err := h.deps.Router.Select(&c.request, time.Now())
 	if err == nil {
 		return selection{decision, c.request}, nil
--- a/pkg/entry/crash.go
+++ b/pkg/entry/crash.go
@@ -53,8 +53,19 @@
 // and the messages between hosts carry the same crashes, so the larger of the
 // two counts holds, not their sum.
 func (h *Handler) isSuspect(c *call, now time.Time) bool {
-	crashes := max(h.suspects.count(c.digest, now), h.deps.View().Crashes(c.digest, now))
-	return crashes >= atmostonce.SuspectCrashes
+	return h.crashesOf(c, now) >= atmostonce.SuspectCrashes
+}
+
+func (h *Handler) crashesOf(c *call, now time.Time) int {
+	return max(h.suspects.count(c.digest, now), h.deps.View().Crashes(c.digest, now))
+}
+
+// keepApart has the router place a request that was running when an engine crashed
+// apart from the others that were: one of them may crash the next engine, too.
+func (h *Handler) keepApart(c *call, now time.Time) {
+	if c.digest != "" && h.crashesOf(c, now) > 0 {
+		c.request.Suspect = c.digest
+	}
 }
 
 func (h *Handler) suspectError(c *call) error {
--- a/pkg/entry/fakes_test.go
+++ b/pkg/entry/fakes_test.go
@@ -163,11 +163,14 @@
 	open     int
 	handOver model.BackendID
 	feedback []routing.Feedback
+	// suspects are the digests of the requests that were selected for.
+	suspects []string
 }
 
 func (f *fakeRouter) Select(r *routing.Request, _ time.Time) (routing.Decision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.suspects = append(f.suspects, r.Suspect)
 	backends := f.engines
 	if r.Kind == model.PoolService {
 		backends = f.services
--- a/pkg/entry/resume_test.go
+++ b/pkg/entry/resume_test.go
@@ -281,6 +281,27 @@
 	require.True(t, other.stream(t, 6).done, "another request is not affected")
 }
 
+// Guards against an innocent request that is sent on to the same engine as the one
+// that has crashed theirs.
+func TestRequestThatSawACrashIsPlacedApart(t *testing.T) {
+	h := newTestHost(t, quick)
+	crashing, good := newTestEngine(t), newTestEngine(t)
+	crashing.step = func(w *engineWriter, _ int) bool {
+		go crashing.Close()
+		_ = crashing.Listener.Close()
+		w.drop()
+		return false
+	}
+	h.router.add(model.PoolEngine, "crashing", crashing.URL)
+	h.router.add(model.PoolEngine, "good", good.URL)
+	require.True(t, h.stream(t, 5).done)
+	h.router.mu.Lock()
+	defer h.router.mu.Unlock()
+	require.Len(t, h.router.suspects, 2)
+	require.Empty(t, h.router.suspects[0])
+	require.Equal(t, h.spread[0].Digest, h.router.suspects[1])
+}
+
 // Guards against taking a broken connection to a running engine for a crash.
 func TestBrokenConnectionIsNoCrash(t *testing.T) {
 	h, _, _ := twoEngines(t, func(w *engineWriter, _ int) bool { w.drop(); return false })
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -28,6 +28,10 @@
 	Resumable bool
 	// Exclude lists backend servers that were already tried.
 	Exclude []model.BackendID
+	// Suspect is the digest of a request that was running when an engine crashed,
+	// empty for others. It decides the engine, so that requests that were together
+	// at one crash are not together at the next.
+	Suspect string
 	// KVFrom is the engine that holds the KV cache of the whole prompt after a
 	// hand-over from prefill to decode. Empty for a request not yet prefilled.
 	KVFrom model.BackendID
--- a/pkg/routing/select.go
+++ b/pkg/routing/select.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/redwingpath/redwingpath/pkg/engine"
 	"github.com/redwingpath/redwingpath/pkg/model"
 	"github.com/redwingpath/redwingpath/pkg/platform"
@@ -21,6 +23,11 @@
 	if r.Kind == model.PoolService {
 		return t.selectService(r, now)
 	}
+	if r.Suspect != "" {
+		if c, ok := t.apart(r, now); ok {
+			return t.decide(r, &c, now), nil
+		}
+	}
 	best, ok := t.best(r, now, t.settings.RandomCandidates)
 	if ok && t.late(&best) {
 		if wide, found := t.best(r, now, t.settings.WideCandidates); found && t.better(&wide, &best) {
@@ -117,6 +124,33 @@
 	return best, found
 }
 
+// apart picks the engine of a suspect by the hash of both. All engines are looked
+// at, which few requests need.
+func (t *Table) apart(r *Request, now time.Time) (candidate, bool) {
+	var best *entry
+	var most uint64
+	for _, kind := range kindsFor(r) {
+		for _, role := range rolesFor(r) {
+			l := t.lists[listKey{r.Pool, kind, role, r.Adapter, r.Version}]
+			if l == nil {
+				continue
+			}
+			for _, e := range l.members {
+				if !suits(&e.backend, r) || !e.healthy(&t.settings, now) {
+					continue
+				}
+				if h := xxhash.Sum64String(r.Suspect + "\x00" + string(e.backend.ID)); best == nil || h > most {
+					best, most = e, h
+				}
+			}
+		}
+	}
+	if best == nil {
+		return candidate{}, false
+	}
+	return t.judge(best, r, now), true
+}
+
 // better orders candidates: those in time first, then by score.
 func (t *Table) better(a, b *candidate) bool {
 	aLate := t.late(a)
--- a/pkg/routing/table_test.go
+++ b/pkg/routing/table_test.go
@@ -57,6 +57,7 @@
 	r.Resumable = rapid.Bool().Draw(t, "resumable")
 	r.Adapter = rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "adapter")
 	r.Version = rapid.SampledFrom([]string{"", "1"}).Draw(t, "version")
+	r.Suspect = rapid.SampledFrom([]string{"", "", "a", "b"}).Draw(t, "suspect")
 	r.Prefix = []uint64{uint64(rapid.IntRange(0, 3).Draw(t, "prefix"))}
 	for i := range 8 {
 		if rapid.IntRange(0, 3).Draw(t, "exclude") == 0 {
@@ -318,3 +319,55 @@
 	}
 	group.Wait()
 }
+
+// playCrash crashes the engine of a request and of the innocent ones beside it, and
+// places them again until the request has crashed two engines. All share a
+// prefix, so that they are best served at the same engine. It returns the
+// innocent ones that were beside both crashes.
+func playCrash(t *testing.T, seed uint64, suspects bool) (blamed int) {
+	t.Helper()
+	table := NewTable(Settings{Seed: seed})
+	for i := range 20 {
+		table.UpdateBackend(backend(i))
+	}
+	const innocent = 4
+	crashes := make([]int, innocent+1)
+	for range 2 {
+		var at []model.BackendID
+		for i := range innocent + 1 {
+			r := request(i)
+			r.Prefix = []uint64{1, 2, 3}
+			if suspects && crashes[i] > 0 {
+				r.Suspect = fmt.Sprint("digest", seed, i)
+			}
+			d, err := table.Select(r, start)
+			require.NoError(t, err)
+			at = append(at, d.Backend)
+			table.FirstToken(r.ID, d.Backend, start)
+		}
+		for i := range at {
+			if at[i] == at[0] {
+				crashes[i]++
+			}
+		}
+		table.RemoveBackend(at[0])
+	}
+	for _, n := range crashes[1:] {
+		if n == 2 {
+			blamed++
+		}
+	}
+	return blamed
+}
+
+// Guards against refusing the requests that are sent on to the next engine
+// together with the one that has crashed theirs.
+func TestRequestsOfOneCrashDoNotMeetAtTheNext(t *testing.T) {
+	with, without := 0, 0
+	for seed := range uint64(50) {
+		with += playCrash(t, seed, true)
+		without += playCrash(t, seed, false)
+	}
+	require.LessOrEqual(t, with, 200/10, "one in twenty meets by chance")
+	require.Greater(t, without, 2*with)
+}
