Serve the metrics of the product's own edge in the text format

Cause: only the platform's edge had them; the own edge published expvar, which needs a translator to be scraped and alarmed on. Before and after: no /metrics on the operators' port; GET /metrics behind the operators' token. Conclusion: expvar and /v1/metrics stay as they are.

--- a/pkg/node/listeners.go
+++ b/pkg/node/listeners.go
@@ -6,6 +6,10 @@
 	"net/http"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
 	"github.com/redwingpath/redwingpath/pkg/operator"
 	"github.com/redwingpath/redwingpath/pkg/settings"
 	"github.com/redwingpath/redwingpath/pkg/tlsconf"
@@ -56,10 +60,12 @@
 }
 
 func (n *node) operatorServer() *http.Server {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(n.metrics, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return &http.Server{
 		Handler: operator.NewHandler(operator.Dependencies{
 			Host: n.settings.Host.ID, Views: n, Config: configurer{n}, Backends: n.table, History: n.history,
-			Health: n, Dumper: n, Journal: n.journal, Metrics: n.metrics.Var(),
+			Health: n, Dumper: n, Journal: n.journal, Metrics: n.metrics.Var(), Text: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 			Operators: n.settings.Operators, Logger: n.log,
 		}),
 		ReadHeaderTimeout: operatorHeaderTimeout,
--- a/pkg/operator/handler.go
+++ b/pkg/operator/handler.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/rotisserie/eris"
 
 	"github.com/redwingpath/redwingpath/pkg/journal"
 	"github.com/redwingpath/redwingpath/pkg/opslang"
@@ -20,6 +21,7 @@
 	PathExplain = "/v1/explain" // GET ?subject= -> []journal.Entry
 	PathDump    = "/v1/dump"    // GET -> state of the process
 	PathMetrics = "/v1/metrics" // GET -> metrics of this host
+	PathText    = "/metrics"    // GET -> the same in the text format of Prometheus
 	PathExpvar  = "/debug/vars" // GET -> all expvar variables of the process
 	PathLive    = "/livez"      // GET -> 200 while the process answers; no token
 	PathReady   = "/readyz"     // GET -> ReadyResponse, 200 or 503; no token
@@ -51,6 +53,9 @@
 	mux.Handle("GET "+PathExplain, newServer(auth(s.explain), decodeSubject))
 	mux.Handle("GET "+PathDump, newServer(auth(s.dump), decodeNothing))
 	mux.Handle("GET "+PathMetrics, newServer(auth(s.metrics), decodeNothing))
+	if d.Text != nil {
+		mux.Handle("GET "+PathText, newTextServer(auth(live), d.Text))
+	}
 	mux.Handle("GET "+PathExpvar, newServer(auth(processVariables), decodeNothing))
 	mux.Handle("GET "+PathLive, newServer(live, decodeNothing))
 	mux.Handle("GET "+PathReady, newServer(s.ready, decodeNothing))
@@ -64,6 +69,22 @@
 	)
 }
 
+// newTextServer serves metrics to those that an endpoint lets pass.
+func newTextServer(allow endpoint.Endpoint, text http.Handler) http.Handler {
+	return kithttp.NewServer(allow, decodeNothing,
+		func(ctx context.Context, w http.ResponseWriter, _ any) error {
+			r, err := http.NewRequestWithContext(ctx, http.MethodGet, PathText, nil)
+			if err != nil {
+				return eris.Wrap(err, "serve the metrics")
+			}
+			text.ServeHTTP(w, r)
+			return nil
+		},
+		kithttp.ServerBefore(kithttp.PopulateRequestContext, tokenToContext),
+		kithttp.ServerErrorEncoder(encodeError),
+	)
+}
+
 // jsonOverhead is room for the escapes of a script in JSON.
 const jsonOverhead = 2
 
--- a/pkg/operator/interfaces.go
+++ b/pkg/operator/interfaces.go
@@ -7,6 +7,7 @@
 	"context"
 	"expvar"
 	"fmt"
+	"net/http"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -59,17 +60,19 @@
 	Dump() any
 }
 
-// Dependencies are what the operator interface works on. All are required.
+// Dependencies are what the operator interface works on. All but Text are required.
 type Dependencies struct {
-	Host      model.HostID
-	Views     Viewer
-	Config    Configurer
-	Backends  BackendLister
-	History   Historian
-	Health    Health
-	Dumper    Dumper
-	Journal   *journal.Journal
-	Metrics   expvar.Var
+	Host     model.HostID
+	Views    Viewer
+	Config   Configurer
+	Backends BackendLister
+	History  Historian
+	Health   Health
+	Dumper   Dumper
+	Journal  *journal.Journal
+	Metrics  expvar.Var
+	// Text serves the metrics in the text format of Prometheus. It may be nil.
+	Text      http.Handler
 	Operators []settings.Operator
 	Logger    *zap.Logger
 }
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"expvar"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -105,6 +106,10 @@
 	server := httptest.NewServer(NewHandler(Dependencies{
 		Host: "h1", Views: f.host, Config: f.host, Backends: f.host, History: f.host.history,
 		Health: f.host, Dumper: f.host, Journal: f.journal, Metrics: new(expvar.Map),
+		Text: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+			_, _ = io.WriteString(w, "redwingpath_log_offset{of=\"total\"} 17\n")
+		}),
 		Operators: []settings.Operator{{Name: "none", TokenSHA256: Digest("")}, {Name: "lucia", TokenSHA256: digest}},
 		Logger:    zap.New(core),
 	}))
@@ -321,3 +326,25 @@
 	}
 	assert.Equal(t, []model.Offset{2, 3, 4}, versions)
 }
+
+// Guards against metrics that anyone who reaches the operators' port can read.
+func TestTextMetricsNeedAToken(t *testing.T) {
+	f := newFixture(t)
+	get := func(token string) (int, string) {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, f.url+PathText, nil)
+		require.NoError(t, err)
+		r.Header.Set("Authorization", "Bearer "+token)
+		resp, err := f.client.http.Do(r)
+		require.NoError(t, err)
+		defer func() { _ = resp.Body.Close() }()
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		return resp.StatusCode, string(body)
+	}
+	status, body := get("wrong")
+	assert.Equal(t, http.StatusUnauthorized, status)
+	assert.NotContains(t, body, "redwingpath_log_offset")
+	status, body = get(f.client.token)
+	assert.Equal(t, http.StatusOK, status)
+	assert.Contains(t, body, "redwingpath_log_offset")
+}
