--- a/pkg/follower/follower.go
+++ b/pkg/follower/follower.go
@@ -210,15 +210,3 @@
 	default:
 	}
 }
-
-// sleep waits for a duration or the end of the context.
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/pkg/follower/reader.go
+++ b/pkg/follower/reader.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/redwingpath/redwingpath/pkg/model"
+	"github.com/redwingpath/redwingpath/pkg/pause"
 	"github.com/redwingpath/redwingpath/pkg/platform"
 	"github.com/redwingpath/redwingpath/pkg/state"
 )
@@ -26,7 +27,7 @@
 			continue
 		}
 		f.config.Logger.Debug("log read failed", zap.Error(err))
-		if err := sleep(ctx, backoff); err != nil {
+		if err := pause.For(ctx, backoff); err != nil {
 			return err
 		}
 		backoff = min(backoff*2, maxBackoff)
--- a/pkg/mirror/follower.go
+++ b/pkg/mirror/follower.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/redwingpath/redwingpath/pkg/pause"
 )
 
 // ErrForgotten means that the store no longer holds the records from an offset on.
@@ -74,21 +76,21 @@
 	delay := retryDelay
 	for ctx.Err() == nil {
 		if f.Idle != nil && f.Table.Complete() && f.Idle() {
-			f.pause(ctx, idleInterval)
+			_ = pause.For(ctx, idleInterval)
 			continue
 		}
 		err := f.step(ctx)
 		if err == nil {
 			f.found()
 			delay = retryDelay
-			f.pause(ctx, f.Interval)
+			_ = pause.For(ctx, f.Interval)
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
 		f.failed(err)
-		f.pause(ctx, f.turn(delay))
+		_ = pause.For(ctx, f.turn(delay))
 		delay = min(2*delay, retryDelayMost)
 	}
 }
@@ -102,18 +104,6 @@
 	return min(delay+time.Duration(f.Rank())*turnDelay, max(delay, turnDelayMost))
 }
 
-func (f *Follower) pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (f *Follower) found() {
 	if !f.reachable.Swap(true) && f.Back != nil {
 		f.Back()
--- a/pkg/orders/send.go
+++ b/pkg/orders/send.go
@@ -7,6 +7,7 @@
 
 	"github.com/redwingpath/redwingpath/pkg/engine"
 	"github.com/redwingpath/redwingpath/pkg/logrec"
+	"github.com/redwingpath/redwingpath/pkg/pause"
 	"github.com/redwingpath/redwingpath/pkg/platform"
 )
 
@@ -29,7 +30,7 @@
 		if known == ended {
 			return r
 		}
-		if time.Now().After(deadline) || !pause(ctx, pollPeriod) {
+		if time.Now().After(deadline) || pause.For(ctx, pollPeriod) != nil {
 			r.Result, r.Detail = logrec.ResultUnknown, "the engine has not told the end of the order"
 			return r
 		}
@@ -59,7 +60,7 @@
 		if r, ok := platformResult(order.OrderID, status, err); ok {
 			return r
 		}
-		if time.Now().After(deadline) || !pause(ctx, pollPeriod) {
+		if time.Now().After(deadline) || pause.For(ctx, pollPeriod) != nil {
 			return Result{OrderID: order.OrderID, Result: logrec.ResultUnknown, Detail: "the platform has not answered"}
 		}
 		status, err = e.askPlatform(ctx, order.OrderID)
@@ -94,15 +95,3 @@
 	defer cancel()
 	return e.config.Fleet.OrderStatus(ctx, orderID)
 }
-
-// pause waits; it returns false when the context ends.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/pkg/pause/pause.go
@@ -0,0 +1,22 @@
+// Package pause waits for a time or for the end of a context.
+package pause
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for a duration. It fails with the context's error if that ends first.
+func For(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/pkg/usage/flusher.go
+++ b/pkg/usage/flusher.go
@@ -12,6 +12,7 @@
 
 	"github.com/redwingpath/redwingpath/pkg/follower"
 	"github.com/redwingpath/redwingpath/pkg/logrec"
+	"github.com/redwingpath/redwingpath/pkg/pause"
 	"github.com/redwingpath/redwingpath/pkg/state"
 )
 
@@ -85,8 +86,8 @@
 		}
 		if err != nil {
 			f.logger.Debug("usage batch", zap.Uint64("sequence", f.pending[0].Sequence), zap.Error(err))
-			if err := sleep(ctx, f.retryAfter); err != nil {
-				return err
+			if err := pause.For(ctx, f.retryAfter); err != nil {
+				return eris.Wrap(err, "flush usage")
 			}
 			continue
 		}
@@ -144,14 +145,3 @@
 	}
 	f.sequence--
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return eris.Wrap(ctx.Err(), "flush usage")
-	}
-}
