Pick the addresses of test hosts from one place, each once

Shown by: 20,000 draws of the nine ports of three hosts gave one port twice in 101 of them, and the test has some twenty deployments; a host whose readiness port is taken fails at the same line in the same way. Ruled out: 8 plays of the test alone, 12 beside each other and 5 beside 2,600 outgoing connections a second passed. Before: addresses were picked by four pieces of code, one of them unsafe. Conclusion: the fault was the test's.

--- a/integration/example/host.go
+++ b/integration/example/host.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/redwingpath/redwingpath/pkg/loopback"
 	"github.com/redwingpath/redwingpath/pkg/model"
 	"github.com/redwingpath/redwingpath/pkg/operator"
 )
@@ -39,7 +40,7 @@
 	var peers string
 	for _, address := range []*string{&h.callers, &h.operators, &peers} {
 		var err error
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = loopback.Address(); err != nil {
 			return err
 		}
 	}
--- a/integration/example/settings.go
+++ b/integration/example/settings.go
@@ -2,12 +2,9 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 
@@ -83,25 +80,3 @@
 	path := filepath.Join(d.config.Dir, string(h.ID)+".jsonc")
 	return path, eris.Wrap(os.WriteFile(path, []byte(text), 0o600), "write settings")
 }
-
-// Ports are below the usual range of ephemeral ports, so that no outgoing
-// connection takes one between its choice and the start of the host.
-const (
-	firstPort = 10_000
-	portCount = 20_000
-)
-
-var nextPort atomic.Uint32
-
-func init() { nextPort.Store(rand.Uint32N(portCount)) }
-
-func freeAddress() (string, error) {
-	for range portCount {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
-		l, err := net.Listen("tcp4", address)
-		if err == nil {
-			return address, l.Close()
-		}
-	}
-	return "", eris.New("no free port")
-}
--- a/integration/harness/host.go
+++ b/integration/harness/host.go
@@ -14,6 +14,7 @@
 
 	"github.com/redwingpath/redwingpath/integration/check"
 	"github.com/redwingpath/redwingpath/integration/load"
+	"github.com/redwingpath/redwingpath/pkg/loopback"
 	"github.com/redwingpath/redwingpath/pkg/model"
 	"github.com/redwingpath/redwingpath/standin/platformsim"
 )
@@ -47,7 +48,7 @@
 
 // newHost prepares a host with its relays and settings file.
 func (d *Deployment) newHost(id model.HostID, dc model.DataCentreID) (*Host, error) {
-	ports, err := freeAddresses(3)
+	ports, err := loopback.Addresses(3)
 	if err != nil {
 		return nil, err
 	}
--- a/integration/platformsoak/soak.go
+++ b/integration/platformsoak/soak.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,6 +18,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/redwingpath/redwingpath/pkg/loopback"
 	"github.com/redwingpath/redwingpath/platform/platformtest"
 )
 
@@ -49,10 +49,8 @@
 )
 
 type run struct {
-	config Config
-	random *rand.Rand
-	// taken are the addresses of hosts.
-	taken   map[string]bool
+	config  Config
+	random  *rand.Rand
 	store   *platformtest.Store
 	api     *platformtest.API
 	hosts   []*process
@@ -94,7 +92,7 @@
 func Run(ctx context.Context, c Config) (Result, error) {
 	r := &run{
 		config: c, random: rand.New(rand.NewPCG(c.Seed, 77)), store: platformtest.NewStore(),
-		taken: map[string]bool{}, answers: map[string]answer{}, keys: []string{"k0", "k1"}, revoked: map[string]time.Time{},
+		answers: map[string]answer{}, keys: []string{"k0", "k1"}, revoked: map[string]time.Time{},
 	}
 	defer r.stop()
 	if err := r.start(); err != nil {
@@ -121,33 +119,6 @@
 	r.result.Violations = append(r.result.Violations, fmt.Sprintf(format, args...))
 }
 
-// Ports of hosts lie below those that the kernel gives to outgoing connections,
-// which would otherwise take a host's port before it listens or while it is down.
-const (
-	firstPort = 15000
-	ports     = 15000
-)
-
-// freeAddress finds an address that no other host of the run has.
-func (r *run) freeAddress() (string, error) {
-	for range ports {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
-		if r.taken[address] {
-			continue
-		}
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		if err := l.Close(); err != nil {
-			return "", eris.Wrap(err, "give a port back")
-		}
-		r.taken[address] = true
-		return address, nil
-	}
-	return "", eris.New("no port is free")
-}
-
 func (r *run) start() error {
 	var closeAPI func()
 	r.api, closeAPI = platformtest.OpenAPI()
@@ -166,7 +137,7 @@
 	for i := range r.config.Hosts {
 		p := &process{name: fmt.Sprint("host-", i)}
 		for _, address := range []*string{&p.callers, &p.ready, &p.peers} {
-			free, err := r.freeAddress()
+			free, err := loopback.Address()
 			if err != nil {
 				return err
 			}
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/redwingpath/redwingpath/pkg/loopback"
 	"github.com/redwingpath/redwingpath/pkg/mirror"
 	"github.com/redwingpath/redwingpath/pkg/model"
 	"github.com/redwingpath/redwingpath/pkg/placement"
@@ -41,10 +41,9 @@
 
 func address(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	listen, err := loopback.Address()
 	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return listen
 }
 
 func startNode(t *testing.T, name, listen string, seeds ...string) *node {
