--- a/pkg/edgehost/exchange.go
+++ b/pkg/edgehost/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/redwingpath/redwingpath/pkg/mesh"
 	"github.com/redwingpath/redwingpath/pkg/model"
 	"github.com/redwingpath/redwingpath/pkg/quota"
+	"github.com/redwingpath/redwingpath/pkg/usagewindow"
 )
 
 func (h *Host) newMesh() error {
@@ -15,11 +16,13 @@
 	h.mesh, err = mesh.New(mesh.Deps{
 		Self: h.self, Seeds: h.settings.Seeds,
 		Topics:    h.tables,
-		Compose:   h.compose,
+		News:      h.news,
+		Counts:    h.usage.Lines,
 		CountsFor: h.mayReport,
 		Heard:     h.heard,
-		Load:      h.fleet.Current,
-		HeardLoad: h.fleet.HearLoad,
+		HeardCounts: func(from mesh.Member, counts []usagewindow.Line, at time.Time) {
+			h.usage.Hear(from.Host, from.Incarnation, counts, at)
+		},
 		Clock: func(peer string, theirs, ours time.Time) {
 			if d := h.clock.Observe(peer, theirs, ours); d != 0 {
 				h.log.Warn("time of day corrected by the peers", zap.Duration("by", d))
@@ -42,17 +45,15 @@
 	return err
 }
 
-// compose fills in what this host tells its peers.
-func (h *Host) compose(m *mesh.Message) {
+// news is what this host tells its peers.
+func (h *Host) news() mesh.News {
 	h.findDeputy()
-	m.Load = h.fleet.Report()
-	m.Quota = h.quota.Use()
-	m.Counted, m.Counts = true, h.usage.Lines()
+	n := mesh.News{Load: h.fleet.Report(), Quota: h.quota.Use(), Suspects: h.gateway.Suspects()}
 	if fence, mine := h.duties.Mine(); mine {
-		m.Holding = mesh.Holding{Holder: h.self.Host, Fence: fence}
-		m.Switching = *h.switching.Load()
+		n.Holding = mesh.Holding{Holder: h.self.Host, Fence: fence}
+		n.Switching = *h.switching.Load()
 	}
-	m.Suspects = h.gateway.Suspects()
+	return n
 }
 
 // mayReport tells whether a peer may have to report usage: the holder of the
@@ -77,26 +78,23 @@
 	h.deputy.Store(&deputy)
 }
 
-// heard takes a peer's message.
-func (h *Host) heard(m *mesh.Message) {
+// heard takes a peer's news.
+func (h *Host) heard(from mesh.Member, n *mesh.News) {
 	now := time.Now()
-	host := m.From.Host
-	h.fleet.Hear(host, m.Load, now)
-	if m.Counted {
-		h.usage.Hear(host, m.From.Incarnation, m.Counts, m.Now)
-	}
-	if m.Holding.Holder == host && !m.From.Stopped {
-		h.duties.Hear(host, m.Holding.Fence, now)
-		h.fleet.SetSwitching(m.Switching)
+	host := from.Host
+	h.fleet.Hear(host, n.Load, now)
+	if n.Holding.Holder == host && !from.Stopped {
+		h.duties.Hear(host, n.Holding.Fence, now)
+		h.fleet.SetSwitching(n.Switching)
 	}
-	h.gateway.HearSuspects(h.suspects.take(host, m.Suspects))
-	if m.From.Stopped {
+	h.gateway.HearSuspects(h.suspects.take(host, n.Suspects))
+	if from.Stopped {
 		h.quota.Leave(host)
 		h.fleet.Forget(host)
 		h.log.Info("peer stopped", zap.String("peer", host))
 		return
 	}
-	h.quota.Hear(host, m.From.Incarnation, m.Quota, now)
+	h.quota.Hear(host, from.Incarnation, n.Quota, now)
 }
 
 // retryShare is the part of the budget of resends that hosts use: what they count
--- a/pkg/edgehost/host.go
+++ b/pkg/edgehost/host.go
@@ -71,7 +71,10 @@
 func New(s *Settings, p Platform, dialect gateway.Dialect, log *zap.Logger) (*Host, error) {
 	h := &Host{
 		settings: s, log: log,
-		self:     mesh.Member{Host: string(s.Host), Incarnation: ulid.Make().String(), Address: s.Peers, DataCentre: string(s.DataCentre)},
+		self: mesh.Member{
+			Host: string(s.Host), Incarnation: ulid.Make().String(), Address: s.Peers,
+			DataCentre: string(s.DataCentre), Bandwidth: s.Bandwidth,
+		},
 		clock:    truetime.New(truetime.System()),
 		tables:   map[string]*mirror.Table{},
 		follower: map[string]*mirror.Follower{},
--- a/pkg/edgehost/run.go
+++ b/pkg/edgehost/run.go
@@ -157,7 +157,7 @@
 			h.registry.hear(h.tables[TopicBackends].Heard())
 			h.registry.sweep(now)
 			rank, hosts := h.mesh.Turn()
-			h.fleet.SetTurn(rank, hosts, h.mesh.Interval())
+			h.fleet.SetTurn(rank, hosts)
 			h.pool.Sweep(now)
 			for _, t := range h.tables {
 				t.Trim(now)
--- a/pkg/edgehost/settings.go
+++ b/pkg/edgehost/settings.go
@@ -44,6 +44,9 @@
 	UsageWindow, UsageDelay time.Duration
 	// MemoryBytes is the memory of the process. Unit: bytes. Default: 256 MiB.
 	MemoryBytes int64
+	// Bandwidth of the host's link. Among many hosts those with the most pass on what
+	// others tell them. Unit: Mbit/s. Default: 0, not known.
+	Bandwidth float64
 	// LogLevel is debug, info, warn or error. Default: info.
 	LogLevel string
 	// LogLines bounds the log lines per second. Unit: lines. Default: 400.
--- a/pkg/mesh/members.go
+++ b/pkg/mesh/members.go
@@ -6,14 +6,18 @@
 )
 
 // hear notes that a member is alive.
-func (m *Mesh) hear(from Member) {
+func (m *Mesh) hear(from Member) { m.hearAt(from, time.Now()) }
+
+// hearAt notes that a member was alive at a time. It returns false for a host that
+// has stopped.
+func (m *Mesh) hearAt(from Member, at time.Time) bool {
 	if from.Host == m.deps.Self.Host || from.Host == "" {
-		return
+		return false
 	}
 	m.mu.Lock()
 	if m.hasStopped(from) {
 		m.mu.Unlock()
-		return
+		return false
 	}
 	delete(m.stopped, from.Host)
 	s := m.members[from.Host]
@@ -26,13 +30,28 @@
 		delete(m.members, from.Address)
 	}
 	s.Member = from
-	s.heard = time.Now()
+	if at.After(s.heard) {
+		s.heard = at
+	}
 	back := s.lost
 	s.lost = false
 	m.mu.Unlock()
 	if back {
 		go m.deps.Back(from.Host)
 	}
+	return true
+}
+
+// first tells whether a message with news is later than all others of its sender.
+func (m *Mesh) first(host string, number uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.members[host]
+	if s == nil || number <= s.number {
+		return false
+	}
+	s.number = number
+	return true
 }
 
 // hasStopped tells whether an incarnation of a host has announced its stop. The
@@ -54,11 +73,6 @@
 	}
 }
 
-// silent is the silence from which a peer counts as lost.
-func (m *Mesh) silent() time.Duration {
-	return max(silentAfter, silentRounds*m.interval())
-}
-
 // Live lists the members that were heard from lately.
 func (m *Mesh) Live() []Member {
 	m.mu.Lock()
@@ -66,7 +80,7 @@
 	now := time.Now()
 	var live []Member
 	for host, s := range m.members {
-		if now.Sub(s.heard) <= m.silent() && host != s.Address {
+		if now.Sub(s.heard) <= silentAfter && host != s.Address {
 			live = append(live, s.Member)
 		}
 	}
@@ -97,7 +111,7 @@
 	now := time.Now()
 	for _, s := range m.members {
 		if s.DataCentre == m.deps.Self.DataCentre && s.Host < m.deps.Self.Host &&
-			now.Sub(s.heard) <= m.silent() && now.Sub(s.readAt) <= readFresh+m.interval() {
+			now.Sub(s.heard) <= silentAfter && now.Sub(s.readAt) <= readFresh+m.newsAge(now) {
 			return false
 		}
 	}
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -10,7 +11,7 @@
 
 	"github.com/redwingpath/redwingpath/pkg/mirror"
 	"github.com/redwingpath/redwingpath/pkg/peer"
-	"github.com/redwingpath/redwingpath/pkg/placement"
+	"github.com/redwingpath/redwingpath/pkg/usagewindow"
 )
 
 // Names of the rpc service.
@@ -22,17 +23,13 @@
 )
 
 const (
-	// interval is the pause between exchanges of a small deployment.
+	// interval is the pause between exchanges of few hosts.
 	interval = 200 * time.Millisecond
-	// intervalPerPeer keeps a host at no more than 140 messages a second however
-	// many hosts there are.
-	intervalPerPeer = 7 * time.Millisecond
-	// membersEvery is the number of rounds between those that introduce members.
+	// membersEvery is the number of messages with news between those that introduce
+	// members.
 	membersEvery = 16
 	// silentAfter is the silence from which a peer counts as lost.
 	silentAfter = 1500 * time.Millisecond
-	// silentRounds is the same as a number of rounds, where these take longer.
-	silentRounds = 3
 	// retryLost is the pause between attempts to reach a lost peer.
 	retryLost = time.Second
 	// forgetAfter is the silence after which a peer is no longer tried.
@@ -46,16 +43,18 @@
 	Seeds []string
 	// Topics are the copies that hosts pass on.
 	Topics map[string]*mirror.Table
-	// Compose fills in the sender's part of a message.
-	Compose func(m *Message)
-	// CountsFor tells whether a peer needs the usage counts of a message. They are
-	// most of its bytes.
+	// News returns what all hosts must know of this one. It is called once for each
+	// message with news.
+	News func() News
+	// Counts returns the counts of usage windows.
+	Counts func() []usagewindow.Line
+	// CountsFor tells whether a peer needs the usage counts. They are most of the
+	// bytes of a message.
 	CountsFor func(peer string) bool
-	// Load is the host's load at engines, HeardLoad takes a near host's.
-	Load      func() placement.Load
-	HeardLoad func(host string, l placement.Load)
-	// Heard takes a message.
-	Heard func(m *Message)
+	// Heard takes a host's news, in the order of its messages.
+	Heard func(from Member, n *News)
+	// HeardCounts takes a host's usage counts as of its time of day.
+	HeardCounts func(from Member, counts []usagewindow.Line, at time.Time)
 	// Clock takes a peer's time, measured at ours.
 	Clock func(peer string, theirs, ours time.Time)
 	Now   func() time.Time
@@ -80,8 +79,19 @@
 	stopped map[string]string
 	pulling sync.Map
 	kick    chan struct{}
-	// rounds counts the rounds; only Run uses it.
-	rounds int
+	// number is that of the last message with news; only Run uses it.
+	number uint64
+	// countsTold is when usage counts were last sent to others than the relay; only
+	// Run uses it.
+	countsTold time.Time
+	// acting is set while the host is a relay.
+	acting atomic.Bool
+	// board is what a relay has heard.
+	board board
+	// drafted is when a host last asked this one for what a relay has heard.
+	drafted time.Time
+	// relaySeen is when a relay last spoke.
+	relaySeen time.Time
 }
 
 type memberState struct {
@@ -93,8 +103,24 @@
 	readAt time.Time
 	busy   bool
 	lost   bool
-	// telling is set while a message with the load is under way.
-	telling bool
+	// number is that of the latest message with news.
+	number uint64
+	// bundle is the number of the latest bundle that the member sent as a relay.
+	bundle uint64
+	// relaying is when the member last said that it is a relay.
+	relaying time.Time
+	// failedUntil keeps a relay that has not answered out of use.
+	failedUntil time.Time
+}
+
+// claim marks a member for an exchange, unless one is under way.
+func (s *memberState) claim(now time.Time) bool {
+	if s.busy {
+		return false
+	}
+	s.busy = true
+	s.tried = now
+	return true
 }
 
 // New returns a mesh that listens at an address.
@@ -127,11 +153,13 @@
 			m.deps.Log.Error("the listener for peers failed", zap.Error(err))
 		}
 	}()
-	go m.runNear(ctx)
 	for ctx.Err() == nil {
-		m.round(ctx)
+		if m.relayed(time.Now()) {
+			m.relayedRound(ctx)
+		} else {
+			m.round(ctx)
+		}
 	}
-	m.rounds = 0
 	m.announceStop()
 	m.client.Close()
 	if err := m.server.Close(); err != nil {
@@ -145,7 +173,7 @@
 func (m *Mesh) round(ctx context.Context) {
 	message := m.compose()
 	targets := m.targets(time.Now())
-	pause := m.Interval() / time.Duration(max(1, len(targets)))
+	pause := interval / time.Duration(max(1, len(targets)))
 	kicked := false
 	for i, t := range targets {
 		go m.exchange(ctx, t, message)
@@ -171,24 +199,31 @@
 	return false
 }
 
+// bare returns a message without news.
+func (m *Mesh) bare() *Message {
+	return &Message{From: m.deps.Self, Now: m.deps.Now(), Copies: m.copies()}
+}
+
+// compose returns a message with news.
 func (m *Mesh) compose() *Message {
-	message := &Message{From: m.deps.Self, Now: m.deps.Now(), Copies: m.copies()}
-	if m.rounds%membersEvery == 0 {
+	message := m.bare()
+	m.number++
+	message.Number = m.number
+	if m.number%membersEvery == 1 {
 		message.Members = m.Live()
 	}
-	m.rounds++
-	m.deps.Compose(message)
+	message.News = m.deps.News()
 	return message
 }
 
 // addressed returns a message as a peer gets it.
 func (m *Mesh) addressed(message *Message, host string) *Message {
-	if message.From.Stopped || m.deps.CountsFor(host) {
+	if message.Counted || message.Number == 0 || !m.deps.CountsFor(host) {
 		return message
 	}
-	short := *message
-	short.Counted, short.Counts = false, nil
-	return &short
+	long := *message
+	long.Counted, long.Counts = true, m.deps.Counts()
+	return &long
 }
 
 // targets picks the addresses for a round: members, and seeds while no member
@@ -196,28 +231,15 @@
 func (m *Mesh) targets(now time.Time) []*memberState {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.watch(now)
 	var targets []*memberState
-	for host, s := range m.members {
-		silence := now.Sub(s.heard)
-		if silence > forgetAfter && host != s.Address {
-			delete(m.members, host)
+	for _, s := range m.members {
+		if now.Sub(s.heard) > silentAfter && now.Sub(s.tried) < retryLost {
 			continue
 		}
-		if silence > m.silent() {
-			if !s.lost {
-				s.lost = true
-				go m.deps.Lost(host)
-			}
-			if now.Sub(s.tried) < retryLost {
-				continue
-			}
-		}
-		if s.busy {
-			continue
+		if s.claim(now) {
+			targets = append(targets, s)
 		}
-		s.busy = true
-		s.tried = now
-		targets = append(targets, s)
 	}
 	if len(m.members) == 0 {
 		for _, address := range m.deps.Seeds {
@@ -232,34 +254,75 @@
 	return targets
 }
 
-func (m *Mesh) exchange(ctx context.Context, s *memberState, message *Message) {
+// watch notes which members have fallen silent and forgets those that have been
+// for long. The caller holds m.mu.
+func (m *Mesh) watch(now time.Time) {
+	for host, s := range m.members {
+		silence := now.Sub(s.heard)
+		if silence > forgetAfter && host != s.Address {
+			delete(m.members, host)
+			continue
+		}
+		if silence > silentAfter && !s.lost {
+			s.lost = true
+			go m.deps.Lost(host)
+		}
+	}
+}
+
+// exchange sends a message to a claimed member and takes the reply. It tells
+// whether one came.
+func (m *Mesh) exchange(ctx context.Context, s *memberState, message *Message) bool {
 	m.mu.Lock()
 	target := s.Member
 	m.mu.Unlock()
 	before := m.deps.Now()
 	reply, err := peer.Call[Reply](ctx, m.client, target.Address, methodExchange, m.addressed(message, target.Host))
 	after := m.deps.Now()
+	got := time.Now()
 	m.mu.Lock()
 	s.busy = false
 	m.mu.Unlock()
 	if err != nil {
 		m.deps.Log.Debug("exchange with a peer failed", zap.String("peer", target.Host), zap.Error(err))
-		return
+		return false
 	}
 	m.hear(reply.From)
+	m.noteRelay(reply.From.Host, reply.Relaying)
 	m.deps.Clock(reply.From.Host, reply.Now, before.Add(after.Sub(before)/2))
 	m.compare(ctx, reply.From, reply.Copies)
+	if message.Want.Scope != ScopeNone {
+		m.take(s, &reply, got)
+	}
+	return true
+}
+
+// noteRelay notes whether a member says that it is a relay.
+func (m *Mesh) noteRelay(host string, relaying bool) {
+	if !relaying {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.relaySeen = time.Now()
+	if s := m.members[host]; s != nil {
+		s.relaying = m.relaySeen
+	}
 }
 
-// Interval is the pause between exchanges.
+// Interval is the time in which a host hears news of all others.
 func (m *Mesh) Interval() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.interval()
+	return m.newsAge(time.Now())
 }
 
-func (m *Mesh) interval() time.Duration {
-	return max(interval, time.Duration(len(m.members))*intervalPerPeer)
+// newsAge is Interval for callers that hold m.mu.
+func (m *Mesh) newsAge(now time.Time) time.Duration {
+	if m.usesRelays(now) {
+		return relayedAge
+	}
+	return interval
 }
 
 // Kick starts an exchange at once, so that a change reaches the peers.
@@ -274,6 +337,8 @@
 func (m *Mesh) announceStop() {
 	message := m.compose()
 	message.From.Stopped = true
+	message.Members = nil
+	message.Counted, message.Counts = true, m.deps.Counts()
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 	defer cancel()
 	var group sync.WaitGroup
@@ -299,6 +364,8 @@
 	reply.From = m.deps.Self
 	reply.Now = m.deps.Now()
 	reply.Copies = m.copies()
+	reply.Relaying = m.acting.Load()
+	now := time.Now()
 	if message.From.Stopped {
 		m.mu.Lock()
 		delete(m.members, message.From.Host)
@@ -306,11 +373,35 @@
 		m.mu.Unlock()
 	} else {
 		m.hear(message.From)
+		m.noteRelay(message.From.Host, message.Relaying)
 	}
 	m.Introduce(message.Members)
-	m.deps.Heard(message)
+	if message.Counted {
+		m.deps.HeardCounts(message.From, message.Counts, message.Now)
+	}
+	if message.From.Stopped || m.first(message.From.Host, message.Number) {
+		if m.acting.Load() && !message.From.Stopped {
+			m.post(message, now)
+		}
+		m.deps.Heard(message.From, &message.News)
+	}
 	m.compare(context.Background(), message.From, message.Copies)
-	return nil
+	return m.answerWant(message.Want, reply, now)
+}
+
+// answerWant adds what the sender wants of a relay.
+func (m *Mesh) answerWant(w Want, reply *Reply, now time.Time) error {
+	if w.Scope == ScopeNone {
+		return nil
+	}
+	if w.Scope == ScopeAll {
+		m.mu.Lock()
+		m.drafted = now
+		m.mu.Unlock()
+	}
+	var err error
+	reply.Bundles, reply.Newest, err = m.board.since(w, now)
+	return err
 }
 
 // Records is an rpc method.
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/redwingpath/redwingpath/pkg/loopback"
 	"github.com/redwingpath/redwingpath/pkg/mirror"
-	"github.com/redwingpath/redwingpath/pkg/model"
 	"github.com/redwingpath/redwingpath/pkg/placement"
 	"github.com/redwingpath/redwingpath/pkg/usagewindow"
 )
@@ -28,7 +27,9 @@
 	mu      sync.Mutex
 	heard   map[string][]time.Time
 	counted map[string]int
-	loads   map[string]int
+	// sends are those that the news of each host told of, told the news of this one.
+	sends   map[string]int
+	told    int
 	changed []mirror.Record
 	lost    []string
 }
@@ -48,27 +49,33 @@
 
 func startNode(t *testing.T, name, listen string, seeds ...string) *node {
 	t.Helper()
-	n := &node{table: mirror.NewTable(nil), heard: map[string][]time.Time{}, counted: map[string]int{}, loads: map[string]int{}, done: make(chan struct{})}
+	return startMember(t, Member{Host: name, Incarnation: name + "1", Address: listen, DataCentre: "z"}, seeds...)
+}
+
+func startMember(t *testing.T, self Member, seeds ...string) *node {
+	t.Helper()
+	n := &node{table: mirror.NewTable(nil), heard: map[string][]time.Time{}, counted: map[string]int{}, sends: map[string]int{}, done: make(chan struct{})}
 	m, err := New(Deps{
-		Self: Member{Host: name, Incarnation: name + "1", Address: listen, DataCentre: "z"}, Seeds: seeds,
+		Self: self, Seeds: seeds,
 		Topics: map[string]*mirror.Table{"t": n.table},
-		Compose: func(m *Message) {
-			m.Counted, m.Counts = true, []usagewindow.Line{{Window: 1, Organisation: "o", Requests: 1}}
-		},
-		Load: func() placement.Load { return placement.Load{Running: map[model.BackendID]int{"b": 1}} },
-		HeardLoad: func(host string, l placement.Load) {
+		News: func() News {
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			n.loads[host] += l.Running["b"]
+			n.told++
+			return News{Load: placement.Report{Sends: []placement.Send{{Backend: "b", WorkMS: 1}}}}
 		},
+		Counts:    func() []usagewindow.Line { return []usagewindow.Line{{Window: 1, Organisation: "o", Requests: 1}} },
 		CountsFor: func(peer string) bool { return peer == "a" },
-		Heard: func(m *Message) {
+		Heard: func(from Member, news *News) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			n.heard[m.From.Host] = append(n.heard[m.From.Host], time.Now())
-			if m.Counted {
-				n.counted[m.From.Host] += len(m.Counts)
-			}
+			n.heard[from.Host] = append(n.heard[from.Host], time.Now())
+			n.sends[from.Host] += len(news.Load.Sends)
+		},
+		HeardCounts: func(from Member, counts []usagewindow.Line, _ time.Time) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.counted[from.Host] += len(counts)
 		},
 		Clock: func(string, time.Time, time.Time) {}, Now: time.Now,
 		Changed: func(_ string, r []mirror.Record) {
@@ -82,7 +89,7 @@
 			n.lost = append(n.lost, host)
 		},
 		Back: func(string) {}, Log: zap.NewNop(),
-	}, listen)
+	}, self.Address)
 	require.NoError(t, err)
 	n.Mesh = m
 	ctx, cancel := context.WithCancel(t.Context())
@@ -138,54 +145,6 @@
 	assert.Equal(t, 1, counted(b), "the final message has them")
 }
 
-// At 50 hosts a request is over before all of them have heard of it.
-func TestNearHostsTellEachOtherTheirLoadWhereExchangesAreRare(t *testing.T) {
-	seed := address(t)
-	a := startNode(t, "a", seed)
-	b := startNode(t, "b", address(t), seed)
-	require.Eventually(t, func() bool { return len(a.Live()) == 1 && len(b.Live()) == 1 }, 8*time.Second, 20*time.Millisecond)
-	loads := func() int {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		return b.loads["a"]
-	}
-	time.Sleep(2 * nearInterval)
-	assert.Zero(t, loads(), "exchanges are as frequent")
-	var absent []Member
-	for i := range 50 {
-		absent = append(absent, Member{Host: fmt.Sprint("x", i), Incarnation: "1", Address: "127.0.0.1:1", DataCentre: "z"})
-	}
-	a.Introduce(absent)
-	require.Eventually(t, func() bool { return loads() >= 5 }, 3*time.Second, 10*time.Millisecond)
-	var empty struct{}
-	before := loads()
-	require.NoError(t, (&service{b.Mesh}).Load(LoadMessage{Host: "a", Incarnation: "earlier", Load: b.deps.Load()}, &empty))
-	require.NoError(t, (&service{b.Mesh}).Load(LoadMessage{Host: "unknown", Incarnation: "1", Load: b.deps.Load()}, &empty))
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	assert.Zero(t, b.loads["unknown"])
-	assert.LessOrEqual(t, b.loads["a"], before+1, "a host that has stopped is not heard")
-}
-
-func TestNearHostsAreThoseNextByName(t *testing.T) {
-	m := &Mesh{deps: Deps{Self: Member{Host: "h10", DataCentre: "z"}}, members: map[string]*memberState{}}
-	for i := range 30 {
-		name := fmt.Sprintf("h%02d", i)
-		if name == "h10" {
-			continue
-		}
-		m.members[name] = &memberState{Member: Member{Host: name, Address: "a" + name, DataCentre: "z"}, heard: time.Now()}
-	}
-	m.members["h11"].DataCentre = "elsewhere"
-	m.members["h12"].heard = time.Time{}
-	var names []string
-	for _, s := range m.near() {
-		names = append(names, s.Host)
-	}
-	assert.ElementsMatch(t, []string{"h05", "h06", "h07", "h08", "h09", "h13", "h14", "h15", "h16", "h17"}, names)
-	assert.Empty(t, m.near(), "one message to a host at a time")
-}
-
 func TestRankCountsTheLiveMembersThatGoBefore(t *testing.T) {
 	seed := address(t)
 	a := startNode(t, "a", seed)
--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -1,6 +1,7 @@
 // Package mesh exchanges between hosts what each must know of the others: the
 // load that they send, what they admit, the usage that they count, who holds a
-// duty, and how far their copies of the platform's topics reach.
+// duty, and how far their copies of the platform's topics reach. A few hosts tell
+// each other directly; many tell relays, which pass on what they hear.
 package mesh
 
 import (
@@ -19,6 +20,8 @@
 	Incarnation string
 	Address     string
 	DataCentre  string
+	// Bandwidth of the host's link, by which relays are chosen. Unit: Mbit/s.
+	Bandwidth float64
 	// Stopped is set in a member's final message.
 	Stopped bool
 }
@@ -38,37 +41,72 @@
 	Fence  uint64
 }
 
+// News is what all hosts must know of a host.
+type News struct {
+	Load placement.Report
+	// Quota is what the sender has admitted and refused since it started.
+	Quota   quota.Use
+	Holding Holding
+	// Switching are the engines that the sender, as the holder, has ordered to
+	// change their stage.
+	Switching []model.BackendID
+	// Suspects are digests of requests that crashed backend servers, with the
+	// number of crashes.
+	Suspects map[string]int
+}
+
 // Message is what a host tells a peer at each exchange.
 type Message struct {
 	From Member
+	// Number counts the sender's messages with news from 1. It is 0 for a message
+	// without.
+	Number uint64
 	// Now is the sender's time of day.
 	Now time.Time
 	// Copies are the sender's copies by topic.
 	Copies map[string]Copy
 	// Members are the hosts that the sender hears from.
 	Members []Member
-	Load    placement.Report
-	// Quota is what the sender has admitted and refused since it started.
-	Quota quota.Use
+	News    News
 	// Counted tells that Counts are in the message. The final message of a host
 	// has them for all peers, others only for those that may report usage.
 	Counted bool
 	// Counts are the sender's counts of recent usage windows.
-	Counts  []usagewindow.Line
-	Holding Holding
-	// Switching are the engines that the sender, as the holder, has ordered to
-	// change their stage.
-	Switching []model.BackendID
-	// Suspects are digests of requests that crashed backend servers, with the
-	// number of crashes.
-	Suspects map[string]int
+	Counts []usagewindow.Line
+	// Relaying tells that the sender acts as a relay.
+	Relaying bool
+	Want     Want
 }
 
+// Want asks a relay for what it has heard.
+type Want struct {
+	Scope Scope
+	// After is the number of the last bundle that the sender has.
+	After uint64
+}
+
+// Scope is which news a host wants of a relay.
+type Scope int
+
+// Scopes.
+const (
+	// ScopeNone asks for nothing.
+	ScopeNone Scope = iota
+	// ScopeOwn asks for what hosts have told the relay directly. Relays ask so.
+	ScopeOwn
+	// ScopeAll asks for what the relay has heard of other relays besides.
+	ScopeAll
+)
+
 // Reply answers a message.
 type Reply struct {
-	From   Member
-	Now    time.Time
-	Copies map[string]Copy
+	From     Member
+	Now      time.Time
+	Copies   map[string]Copy
+	Relaying bool
+	Bundles  []Bundle
+	// Newest is the number of the newest bundle.
+	Newest uint64
 }
 
 // RecordsArgs asks for a peer's copy of a topic from an offset on.
--- /dev/null
+++ b/pkg/mesh/relayed.go
@@ -0,0 +1,258 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Exchanges through relays. Each host of a data centre has one relay, which it
+// tells its news and which tells it those of all others. Relays ask each other for
+// what their hosts have told them.
+const (
+	// relayedFrom is the number of peers above which hosts use relays. Up to it, all
+	// hosts together send at most 3,000 messages a second.
+	relayedFrom = 24
+	// relayInterval is the pause between exchanges with a relay: about the time in
+	// which a prompt is read.
+	relayInterval = 100 * time.Millisecond
+	// relayedAge is the age at which a host has heard most news: three rounds on
+	// the way through two relays, less half a round.
+	relayedAge = 250 * time.Millisecond
+	// relayTimeout bounds an exchange with a relay, so that the news stay fresh
+	// enough for quotas when it falls silent.
+	relayTimeout = 400 * time.Millisecond
+	// relayPause is how long a host does without a relay that has failed it.
+	relayPause = 2 * time.Second
+	// draftedFor is how long a host acts as a relay for one that asks it to, and a
+	// relay is believed to act after it said so.
+	draftedFor = 2 * time.Second
+	// countsInterval is the pause between messages with usage counts.
+	countsInterval = 600 * time.Millisecond
+	// countedMost bounds the members that are told them: while nobody is known to
+	// hold the duties, the first by name are expected to.
+	countedMost = 4
+	// quietAfter is the silence after which a member is asked directly.
+	quietAfter = time.Second
+	// probesMost bounds the members that are asked directly in a round.
+	probesMost = 4
+)
+
+// relayed tells whether the host uses relays.
+func (m *Mesh) relayed(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.usesRelays(now)
+}
+
+// usesRelays is relayed for callers that hold m.mu. Where others use relays, the
+// host does too, since they do not tell it their news directly.
+func (m *Mesh) usesRelays(now time.Time) bool {
+	return len(m.members) > relayedFrom || now.Sub(m.relaySeen) < draftedFor
+}
+
+// plan is what a host does in a round with relays.
+type plan struct {
+	// acting tells that the host is a relay.
+	acting bool
+	// relays are those to exchange news with.
+	relays []*memberState
+	// counted are the members that are told usage counts, probed those that are
+	// asked whether they are alive.
+	counted, probed []*memberState
+}
+
+func (m *Mesh) plan(now time.Time) plan {
+	countsDue := now.Sub(m.countsTold) >= countsInterval
+	if countsDue {
+		m.countsTold = now
+	}
+	live := m.Live()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.watch(now)
+	p := plan{acting: now.Sub(m.drafted) < draftedFor}
+	sites := map[string][]Member{m.deps.Self.DataCentre: {m.deps.Self}}
+	for _, l := range live {
+		if s := m.members[l.Host]; s != nil && now.Before(s.failedUntil) {
+			continue
+		}
+		sites[l.DataCentre] = append(sites[l.DataCentre], l)
+	}
+	near := relaysOf(sites[m.deps.Self.DataCentre])
+	isSelf := func(r Member) bool { return r.Host == m.deps.Self.Host }
+	p.acting = p.acting || slices.ContainsFunc(near, isSelf)
+	if p.acting {
+		for _, hosts := range sites {
+			for _, r := range relaysOf(hosts) {
+				p.add(m.members[r.Host])
+			}
+		}
+		for _, s := range m.members {
+			if now.Sub(s.relaying) < draftedFor && !now.Before(s.failedUntil) {
+				p.add(s)
+			}
+		}
+	} else if r, ok := relayFor(m.deps.Self.Host, near); ok {
+		p.add(m.members[r.Host])
+	}
+	p.relays = slices.DeleteFunc(p.relays, func(s *memberState) bool { return !s.claim(now) })
+	for _, l := range live {
+		s := m.members[l.Host]
+		if countsDue && s != nil && len(p.counted) < countedMost && m.deps.CountsFor(l.Host) && s.claim(now) {
+			p.counted = append(p.counted, s)
+		}
+	}
+	p.probed = m.quiet(now)
+	if countsDue && len(live) > 0 {
+		// An exchange with any host compares clocks, and meets hosts that the relays
+		// do not.
+		if s := m.members[live[rand.IntN(len(live))].Host]; s != nil && s.claim(now) {
+			p.probed = append(p.probed, s)
+		}
+	}
+	return p
+}
+
+func (p *plan) add(s *memberState) {
+	if s != nil && !slices.Contains(p.relays, s) {
+		p.relays = append(p.relays, s)
+	}
+}
+
+// quiet claims members that have not been heard of lately, those first that were
+// not asked for the longest time. The caller holds m.mu.
+func (m *Mesh) quiet(now time.Time) []*memberState {
+	var list []*memberState
+	for _, s := range m.members {
+		if now.Sub(s.heard) > quietAfter && now.Sub(s.tried) >= retryLost && !s.busy {
+			list = append(list, s)
+		}
+	}
+	slices.SortFunc(list, func(a, b *memberState) int { return a.tried.Compare(b.tried) })
+	list = list[:min(len(list), probesMost)]
+	for _, s := range list {
+		s.claim(now)
+	}
+	return list
+}
+
+// relayedRound tells the news to the relay and takes those of others.
+func (m *Mesh) relayedRound(ctx context.Context) {
+	started := time.Now()
+	p := m.plan(started)
+	bare := m.bare()
+	bare.Relaying = p.acting
+	m.acting.Store(p.acting)
+	for _, s := range p.probed {
+		go m.exchange(ctx, s, bare)
+	}
+	if len(p.counted) > 0 {
+		counted := *bare
+		counted.Counted, counted.Counts = true, m.deps.Counts()
+		for _, s := range p.counted {
+			go m.exchange(ctx, s, &counted)
+		}
+	}
+	switch {
+	case p.acting:
+		m.post(m.compose(), started)
+		m.board.seal(started)
+		for _, s := range p.relays {
+			go m.ask(ctx, s, *bare, ScopeOwn)
+		}
+	case len(p.relays) > 0:
+		m.board.clear()
+		go m.ask(ctx, p.relays[0], *m.compose(), ScopeAll)
+	}
+	m.pause(ctx, relayInterval-time.Since(started))
+}
+
+// ask exchanges with a relay.
+func (m *Mesh) ask(ctx context.Context, s *memberState, message Message, scope Scope) {
+	m.mu.Lock()
+	message.Want = Want{Scope: scope, After: s.bundle}
+	m.mu.Unlock()
+	limited, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	if m.exchange(limited, s, &message) || ctx.Err() != nil {
+		return
+	}
+	m.mu.Lock()
+	s.failedUntil = time.Now().Add(relayPause)
+	name := s.Host
+	m.mu.Unlock()
+	m.deps.Log.Info("relay does not answer", zap.String("peer", name), zap.Duration("left_out_for", relayPause))
+}
+
+// post adds what a host has told this relay itself.
+func (m *Mesh) post(message *Message, at time.Time) {
+	r := Relayed{From: message.From, Life: lifeOf(message.From.Incarnation), Number: message.Number, News: message.News}
+	if message.Number > introducedBy && message.Number%membersEvery != 0 {
+		r.From = Member{Host: message.From.Host}
+	}
+	for _, c := range message.Copies {
+		r.ReadAge = max(r.ReadAge, c.ReadAge)
+	}
+	m.board.post(r, at, true)
+}
+
+// take hears the news of a relay's bundles. from is the relay.
+func (m *Mesh) take(from *memberState, reply *Reply, got time.Time) {
+	m.mu.Lock()
+	from.bundle = reply.Newest
+	m.mu.Unlock()
+	for i := range reply.Bundles {
+		b := &reply.Bundles[i]
+		list, err := b.open()
+		if err != nil {
+			m.deps.Log.Warn("a relay's bundle is not readable", zap.String("peer", reply.From.Host), zap.Error(err))
+			continue
+		}
+		for _, r := range list {
+			r.Age += b.Age
+			m.hearRelayed(&r, got)
+		}
+	}
+}
+
+// hearRelayed takes what a relay tells of a host.
+func (m *Mesh) hearRelayed(r *Relayed, got time.Time) {
+	if r.From.Host == m.deps.Self.Host || r.From.Host == "" {
+		return
+	}
+	at := got.Add(-r.Age)
+	m.mu.Lock()
+	s := m.members[r.From.Host]
+	known := s != nil && lifeOf(s.Incarnation) == r.Life
+	switch {
+	case known && r.Number <= s.number:
+		// It came another way before.
+		m.mu.Unlock()
+		return
+	case !known && (r.From.Incarnation == "" || s != nil && at.Before(s.heard)):
+		// The sender is not known yet, or is an earlier incarnation.
+		m.mu.Unlock()
+		return
+	}
+	from := r.From
+	if known {
+		from = s.Member
+	}
+	m.mu.Unlock()
+	if !m.hearAt(from, at) || !m.first(from.Host, r.Number) {
+		return
+	}
+	m.mu.Lock()
+	if s := m.members[from.Host]; s != nil {
+		s.readAt = at.Add(-r.ReadAge)
+	}
+	m.mu.Unlock()
+	if m.acting.Load() {
+		m.board.post(*r, got, false)
+	}
+	m.deps.Heard(from, &r.News)
+}
--- a/pkg/placement/load_test.go
+++ b/pkg/placement/load_test.go
@@ -155,18 +155,23 @@
 // playFleets plays a load at hosts that place by Fleet and exchange reports at
 // an interval.
 func playFleets(load []loadRequest, engines map[model.BackendID]*trueEngine, hosts int, interval time.Duration) outcomeOfLoad {
-	return playSettings(load, engines, hosts, interval, 0, DefaultSettings())
+	return playSettings(load, engines, hosts, interval, DefaultSettings())
 }
 
-// playSettings is playFleets with settings. near hosts before and after each host
-// in its data centre hear its load every 100 ms besides.
-func playSettings(load []loadRequest, engines map[model.BackendID]*trueEngine, hosts int, interval time.Duration, near int, s Settings) outcomeOfLoad {
+// playSettings is playFleets with settings.
+func playSettings(load []loadRequest, engines map[model.BackendID]*trueEngine, hosts int, interval time.Duration, s Settings) outcomeOfLoad {
+	return playDelayed(load, engines, hosts, interval, 0, s)
+}
+
+// playDelayed is playSettings where reports take half to one and a half times a
+// delay on their way.
+func playDelayed(load []loadRequest, engines map[model.BackendID]*trueEngine, hosts int, interval, delay time.Duration, s Settings) outcomeOfLoad {
 	fleets := make([]*Fleet, hosts)
 	used := map[[2]string]bool{}
 	for i := range fleets {
 		s.DataCentre = model.DataCentreID(fmt.Sprint("z", i%3))
 		fleets[i] = NewFleet(s)
-		fleets[i].SetTurn(i/3, (hosts-i%3+2)/3, interval)
+		fleets[i].SetTurn(i/3, (hosts-i%3+2)/3)
 		for _, e := range engines {
 			fleets[i].Update(e.backend)
 		}
@@ -180,30 +185,17 @@
 			report := fleets[i].Report()
 			for j, f := range fleets {
 				if i != j {
-					f.Hear(fmt.Sprint("h", i), report, now)
+					late := now.Sub(epoch) + delay/2
+					if delay > 0 {
+						late += time.Duration(r.Int64N(int64(delay)))
+					}
+					heap.Push(&queue, event{late, func(now time.Time) { f.Hear(fmt.Sprint("h", i), report, now) }})
 				}
 			}
 			heap.Push(&queue, event{now.Sub(epoch) + interval, exchange(i)})
 		}
 	}
-	const dataCentres, nearInterval = 3, 100 * time.Millisecond
-	var tellLoad func(i int) func(time.Time)
-	tellLoad = func(i int) func(time.Time) {
-		return func(now time.Time) {
-			l := fleets[i].Current()
-			circle := (hosts - i%dataCentres + dataCentres - 1) / dataCentres
-			for d := -near; d <= near; d++ {
-				if j := (i/dataCentres+d+circle)%circle*dataCentres + i%dataCentres; j != i {
-					fleets[j].HearLoad(fmt.Sprint("h", i), l)
-				}
-			}
-			heap.Push(&queue, event{now.Sub(epoch) + nearInterval, tellLoad(i)})
-		}
-	}
 	for i := range fleets {
-		if near > 0 {
-			heap.Push(&queue, event{nearInterval * time.Duration(i) / time.Duration(hosts), tellLoad(i)})
-		}
 		heap.Push(&queue, event{interval * time.Duration(i) / time.Duration(hosts), exchange(i)})
 	}
 	for n, q := range load {
@@ -335,9 +327,9 @@
 func TestHostsWithPreferencesUseFewerConnections(t *testing.T) {
 	load := swingingLoad(20, 5*time.Second, 2)
 	s := DefaultSettings()
-	with := playSettings(load, newEngines(63, 27), 88, 600*time.Millisecond, 0, s)
+	with := playSettings(load, newEngines(63, 27), 88, 600*time.Millisecond, s)
 	s.Preference, s.CrossDataCentre = 0, 0
-	without := playSettings(load, newEngines(63, 27), 88, 600*time.Millisecond, 0, s)
+	without := playSettings(load, newEngines(63, 27), 88, 600*time.Millisecond, s)
 	t.Logf("with preferences %s, without %s", with, without)
 	assert.Less(t, float64(with.pairs), 0.8*float64(without.pairs))
 	assert.Greater(t, with.all, without.all-0.01)
@@ -364,24 +356,27 @@
 }
 
 // The load of 88 small hosts after two data centres have lost their cheap engines:
-// half of the reading engines are busy, and a request is over before all hosts
-// have heard of it.
-func TestNearHostsThatTellTheirLoadServeMoreInTime(t *testing.T) {
-	load := swingingLoad(20, 4*time.Second, 3.3)
+// half of the reading engines are busy, and a request is over before hosts that
+// exchange with all others have heard of it.
+func TestHostsThatHearThroughRelaysServeMoreInTime(t *testing.T) {
 	s := DefaultSettings()
-	with := playSettings(load, newEngines(63, 27), 88, 650*time.Millisecond, 5, s)
-	s.Preference = 0
-	without := playSettings(load, newEngines(63, 27), 88, 650*time.Millisecond, 0, s)
-	t.Logf("near hosts tell their load %s, all hosts exchange only %s", with, without)
-	assert.Greater(t, with.all, 0.9)
-	assert.Greater(t, with.all, without.all+0.1)
-	for kind, share := range with.inTime {
-		assert.Greater(t, share, without.inTime[kind], "kind %d", kind)
+	for _, seed := range []uint64{20, 21} {
+		load := swingingLoad(seed, 4*time.Second, 3.3)
+		relayed := playDelayed(load, newEngines(63, 27), 88, 100*time.Millisecond, 150*time.Millisecond, s)
+		direct := playSettings(load, newEngines(63, 27), 88, 650*time.Millisecond, s)
+		t.Logf("seed %d: through relays %s, with all hosts %s", seed, relayed, direct)
+		assert.Greater(t, relayed.all, 0.9)
+		assert.Greater(t, relayed.all, direct.all+0.1)
+		for kind, share := range relayed.inTime {
+			assert.Greater(t, share, direct.inTime[kind], "kind %d", kind)
+		}
 	}
 }
 
-func TestPreferenceGrowsWithTheHostsThatAreNearerAndTheIntervalOfExchanges(t *testing.T) {
-	f := NewFleet(DefaultSettings())
+func TestPreferenceGrowsWithTheHostsThatAreNearerAndTheirNumber(t *testing.T) {
+	s := DefaultSettings()
+	s.PreferenceHosts = 9
+	f := NewFleet(s)
 	for _, e := range newEngines(30, 0) {
 		f.Update(e.backend)
 	}
@@ -391,12 +386,14 @@
 	}
 	assert.Zero(t, cost("e00"), "a host that has met no others prefers nothing")
 	// Ten engines in each data centre for ten hosts.
-	f.SetTurn(0, 10, time.Second)
+	f.SetTurn(0, 10)
 	assert.Zero(t, cost("e00"))
 	assert.InDelta(t, float64(f.settings.Preference/4), float64(cost("e03")), 1000, "the next on the circle")
 	assert.InDelta(t, float64(f.settings.Preference/4), float64(cost("e27")), 1000, "the one before on the circle")
 	assert.Equal(t, f.settings.Preference, cost("e15"))
-	f.SetTurn(0, 10, 200*time.Millisecond)
+	f.settings.PreferenceHosts = 27
+	f.SetTurn(0, 9)
+	f.SetTurn(0, 10)
 	assert.InDelta(t, float64(f.settings.Preference/3), float64(cost("e15")), 1000)
 	gone := f.servers["e00"].Backend
 	f.Remove(gone.ID)
--- a/pkg/placement/preference.go
+++ b/pkg/placement/preference.go
@@ -9,24 +9,21 @@
 	"github.com/redwingpath/redwingpath/pkg/model"
 )
 
-// Hosts learn of each other's requests only at their next exchange, which takes
-// longer the more hosts there are. So each host prefers engines that few others
-// prefer, and these tell each other their load more often: there it knows the
-// queue, and it keeps its connections.
+// Hosts learn of each other's requests late: the more hosts there are, the more
+// requests are sent meanwhile. So each host prefers engines that few others
+// prefer: there it knows the queue, and it keeps its connections.
 
 // turn is a host's place among the hosts of its data centre.
 type turn struct {
 	rank, hosts int
-	// interval is the time between two exchanges with all hosts.
-	interval time.Duration
 }
 
-// SetTurn tells the host's rank among the hosts of its data centre, their number,
-// and the interval at which all hosts exchange their load.
-func (f *Fleet) SetTurn(rank, hosts int, interval time.Duration) {
+// SetTurn tells the host's rank among the hosts of its data centre, and their
+// number.
+func (f *Fleet) SetTurn(rank, hosts int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if t := (turn{rank, max(hosts, 1), interval}); t != f.turn {
+	if t := (turn{rank, max(hosts, 1)}); t != f.turn {
 		f.turn = t
 		for _, k := range f.services {
 			k.preferred = false
@@ -53,7 +50,7 @@
 			circles[c] = append(circles[c], s)
 		}
 	}
-	most := float64(f.settings.Preference) * min(1, float64(f.turn.interval)/float64(f.settings.PreferenceInterval))
+	most := float64(f.settings.Preference) * min(1, float64(f.turn.hosts-1)/f.settings.PreferenceHosts)
 	own := (float64(f.turn.rank) + 0.5) / float64(f.turn.hosts)
 	for _, list := range circles {
 		slices.SortFunc(list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
--- a/pkg/placement/report.go
+++ b/pkg/placement/report.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/redwingpath/redwingpath/pkg/model"
@@ -33,7 +34,14 @@
 // sendsMost bounds the sends that wait for a report.
 const sendsMost = 512
 
+// coarse rounds what is told to peers, so that it takes few bytes.
+func coarse(ms float64) float64 {
+	const perMillisecond = 16
+	return math.Round(ms*perMillisecond) / perMillisecond
+}
+
 func (f *Fleet) note(s Send) {
+	s.WorkMS = coarse(s.WorkMS)
 	if len(f.sends) < sendsMost {
 		f.sends = append(f.sends, s)
 	}
@@ -48,13 +56,6 @@
 	return r
 }
 
-// Current is what the host has at servers now.
-func (f *Fleet) Current() Load {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.load()
-}
-
 func (f *Fleet) load() Load {
 	l := Load{Running: map[model.BackendID]int{}, UnreadMS: map[model.BackendID]float64{}}
 	for id, s := range f.servers {
@@ -62,7 +63,7 @@
 			l.Running[id] = s.running
 		}
 		if s.unread > 0 && s.Engine != nil {
-			l.UnreadMS[id] = millis(s.unread)
+			l.UnreadMS[id] = coarse(millis(s.unread))
 		}
 	}
 	return l
@@ -82,13 +83,6 @@
 	f.hearLoad(peer, r.Load)
 }
 
-// HearLoad takes what a peer has at servers now.
-func (f *Fleet) HearLoad(peer string, l Load) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.hearLoad(peer, l)
-}
-
 func (f *Fleet) hearLoad(peer string, l Load) {
 	for id, s := range f.servers {
 		if n := l.Running[id]; n > 0 {
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -137,10 +137,9 @@
 	// due to requests of theirs that this host has not heard of. Unit: duration.
 	// Default: 60ms.
 	Preference time.Duration
-	// PreferenceInterval is the interval of exchanges from which the cost is whole:
-	// about six times the reading of a prompt. It is in proportion below. Unit:
-	// duration. Default: 600ms.
-	PreferenceInterval time.Duration
+	// PreferenceHosts is the number of other hosts in a data centre from which the cost is
+	// whole. It is in proportion below. Default: 24.
+	PreferenceHosts float64
 	// PreferenceReach is the number of hosts nearer to an engine from which the cost
 	// is full. Default: 4.
 	PreferenceReach float64
@@ -162,7 +161,6 @@
 		HopPenalty:       8 * time.Millisecond,
 		Preference:       60 * time.Millisecond,
 		PreferenceReach:  4,
-
-		PreferenceInterval: 600 * time.Millisecond,
+		PreferenceHosts:  24,
 	}
 }
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -61,20 +61,25 @@
 	mu      sync.Mutex
 	buckets map[model.OrganisationID]*bucket
 	// own is what this host admitted and refused since it started.
-	own   Use
+	own Use
+	// told is own as of the last call of Use, uses counts its calls.
+	told  Use
+	uses  int
 	peers map[string]*peerUse
 }
 
 // Use is what a host has admitted and refused since it started. Fields are
 // exported for net/rpc. Unit: tokens or requests.
 type Use struct {
+	// Whole tells that all organisations are in it. Others have those that changed.
+	Whole    bool
 	Admitted map[model.OrganisationID]float64
 	// Refused has no entry for an organisation that was never refused.
 	Refused map[model.OrganisationID]float64
 }
 
 func (u Use) clone() Use {
-	c := Use{Admitted: maps.Clone(u.Admitted), Refused: maps.Clone(u.Refused)}
+	c := Use{Whole: u.Whole, Admitted: maps.Clone(u.Admitted), Refused: maps.Clone(u.Refused)}
 	if c.Admitted == nil {
 		c.Admitted = map[model.OrganisationID]float64{}
 	}
@@ -110,6 +115,7 @@
 		limits:  limits,
 		buckets: map[model.OrganisationID]*bucket{},
 		own:     Use{}.clone(),
+		told:    Use{}.clone(),
 		peers:   map[string]*peerUse{},
 	}
 }
@@ -218,11 +224,29 @@
 	k.demand *= math.Exp(-passed / demandTime.Seconds())
 }
 
-// Use copies what this host has admitted and refused, for its peers.
+// wholeEvery is the number of reports to peers of which one has all organisations:
+// one in 0.8 seconds at ten reports a second, within the silence at which a peer's
+// use is no longer known.
+const wholeEvery = 8
+
+// Use reports to the peers what this host has admitted and refused: mostly what
+// has changed since the last report, since hosts have few requests between two.
 func (b *Book) Use() Use {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.own.clone()
+	u := Use{Whole: b.uses%wholeEvery == 0, Admitted: map[model.OrganisationID]float64{}, Refused: map[model.OrganisationID]float64{}}
+	b.uses++
+	tell := func(from, told, to map[model.OrganisationID]float64) {
+		for org, sum := range from {
+			if u.Whole || sum != told[org] {
+				to[org] = sum
+				told[org] = sum
+			}
+		}
+	}
+	tell(b.own.Admitted, b.told.Admitted, u.Admitted)
+	tell(b.own.Refused, b.told.Refused, u.Refused)
+	return u
 }
 
 // Hear takes what a peer has admitted and refused since it started. What is newly
@@ -234,6 +258,12 @@
 	p := b.peers[host]
 	if p == nil || p.incarnation != incarnation {
 		first := p == nil || p.incarnation == ""
+		if first && !use.Whole {
+			// Without a sum to start from, all that an organisation has ever used would
+			// count as used now.
+			b.peer(host, now).heard = now
+			return
+		}
 		p = &peerUse{incarnation: incarnation, use: Use{}.clone()}
 		b.peers[host] = p
 		if first {
@@ -274,9 +304,16 @@
 func (b *Book) Peer(host string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.peers[host] == nil {
-		b.peers[host] = &peerUse{use: Use{}.clone(), heard: now}
+	b.peer(host, now)
+}
+
+func (b *Book) peer(host string, now time.Time) *peerUse {
+	p := b.peers[host]
+	if p == nil {
+		p = &peerUse{use: Use{}.clone(), heard: now}
+		b.peers[host] = p
 	}
+	return p
 }
 
 // Leave forgets a host that has stopped.
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -170,14 +170,14 @@
 	b.Peer("p", start)
 	ok, _ := b.Admit(org, 10, start)
 	require.True(t, ok)
-	b.Hear("p", "1", Use{Admitted: map[model.OrganisationID]float64{org: 50 * limits.Rate}}, start)
+	b.Hear("p", "1", Use{Whole: true, Admitted: map[model.OrganisationID]float64{org: 50 * limits.Rate}}, start)
 	ok, _ = b.Admit(org, 10, start.Add(time.Second))
 	assert.True(t, ok)
 }
 
 func TestUseOfARestartedPeerCountsFromZero(t *testing.T) {
 	b := newBook(limits)
-	b.Hear("p", "1", Use{Admitted: map[model.OrganisationID]float64{org: 50 * limits.Rate}}, start)
+	b.Hear("p", "1", Use{Whole: true, Admitted: map[model.OrganisationID]float64{org: 50 * limits.Rate}}, start)
 	_, _ = b.Admit(org, 1, start)
 	b.Hear("p", "2", Use{Admitted: map[model.OrganisationID]float64{org: 10 * limits.Rate}}, start)
 	ok, wait := b.Admit(org, 1000, start)
@@ -233,8 +233,45 @@
 	for i := range 50 {
 		at := start.Add(time.Duration(i) * 200 * time.Millisecond)
 		used := float64(i) * 0.2 * 1.5 * limits.Rate
-		b.Hear("p", "1", Use{Admitted: map[model.OrganisationID]float64{org: used}}, at)
+		b.Hear("p", "1", Use{Whole: true, Admitted: map[model.OrganisationID]float64{org: used}}, at)
 	}
 	ok, _ := b.Admit(org, 1000, start.Add(10*time.Second))
 	assert.False(t, ok)
 }
+
+// Reports are part of ten messages a second of each host.
+func TestReportsTellWhatChangedAndNowAndThenAll(t *testing.T) {
+	a, b := newBook(limits), newBook(limits)
+	_, _ = a.Admit("quiet", 5, start)
+	first := a.Use()
+	assert.True(t, first.Whole)
+	b.Hear("a", "1", first, start)
+	for i := 1; i < wholeEvery; i++ {
+		_, _ = a.Admit(org, 100, start)
+		u := a.Use()
+		assert.False(t, u.Whole)
+		assert.Equal(t, map[model.OrganisationID]float64{org: float64(100 * i)}, u.Admitted)
+		if i%2 == 0 {
+			b.Hear("a", "1", u, start)
+		}
+	}
+	whole := a.Use()
+	assert.True(t, whole.Whole)
+	assert.Len(t, whole.Admitted, 2)
+	b.Hear("a", "1", whole, start)
+	assert.Equal(t, a.own.Admitted, b.peers["a"].use.Admitted, "reports that were lost are made good")
+}
+
+func TestUseOfAPeerCountsFromItsFirstWholeReport(t *testing.T) {
+	b := newBook(limits)
+	use := func(whole bool, sum float64) Use {
+		return Use{Whole: whole, Admitted: map[model.OrganisationID]float64{org: sum}}
+	}
+	b.Hear("p", "1", use(false, 50*limits.Rate), start)
+	b.Hear("p", "1", use(true, 50*limits.Rate), start)
+	ok, _ := b.Admit(org, 10, start.Add(time.Second))
+	assert.True(t, ok, "what was used before is no debt")
+	b.Hear("p", "1", use(false, 60*limits.Rate), start.Add(time.Second))
+	ok, _ = b.Admit(org, 10, start.Add(time.Second))
+	assert.False(t, ok)
+}
