Tell usage counts to a holder of the duties that is a relay too

The holder is also a relay, and other relays exchange with it without counts; their round then had no exchange left for them. Ruled out: the store's refusals of the holder at the time; counts wait in memory. Conclusion: counts go with the exchange between relays when they are due.

--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -81,8 +81,8 @@
 	kick    chan struct{}
 	// number is that of the last message with news; only Run uses it.
 	number uint64
-	// countsTold is when usage counts were last sent to others than the relay; only
-	// Run uses it.
+	// countsTold is when usage counts were last sent where there are relays; only Run
+	// uses it.
 	countsTold time.Time
 	// acting is set while the host is a relay.
 	acting atomic.Bool
@@ -176,7 +176,7 @@
 	pause := interval / time.Duration(max(1, len(targets)))
 	kicked := false
 	for i, t := range targets {
-		go m.exchange(ctx, t, message)
+		go m.exchange(ctx, t, m.addressed(message, m.nameOf(t)))
 		if !kicked || i == len(targets)-1 {
 			kicked = m.pause(ctx, pause) || kicked
 		}
@@ -218,7 +218,7 @@
 
 // addressed returns a message as a peer gets it.
 func (m *Mesh) addressed(message *Message, host string) *Message {
-	if message.Counted || message.Number == 0 || !m.deps.CountsFor(host) {
+	if !m.deps.CountsFor(host) {
 		return message
 	}
 	long := *message
@@ -226,6 +226,12 @@
 	return &long
 }
 
+func (m *Mesh) nameOf(s *memberState) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return s.Host
+}
+
 // targets picks the addresses for a round: members, and seeds while no member
 // is known.
 func (m *Mesh) targets(now time.Time) []*memberState {
@@ -277,7 +283,7 @@
 	target := s.Member
 	m.mu.Unlock()
 	before := m.deps.Now()
-	reply, err := peer.Call[Reply](ctx, m.client, target.Address, methodExchange, m.addressed(message, target.Host))
+	reply, err := peer.Call[Reply](ctx, m.client, target.Address, methodExchange, message)
 	after := m.deps.Now()
 	got := time.Now()
 	m.mu.Lock()
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,10 +29,12 @@
 	heard   map[string][]time.Time
 	counted map[string]int
 	// sends are those that the news of each host told of, told the news of this one.
-	sends   map[string]int
-	told    int
-	changed []mirror.Record
-	lost    []string
+	sends map[string]int
+	told  int
+	// counting is the host that needs usage counts.
+	counting atomic.Pointer[string]
+	changed  []mirror.Record
+	lost     []string
 }
 
 func (n *node) hears(host string) int {
@@ -55,6 +58,8 @@
 func startMember(t *testing.T, self Member, seeds ...string) *node {
 	t.Helper()
 	n := &node{table: mirror.NewTable(nil), heard: map[string][]time.Time{}, counted: map[string]int{}, sends: map[string]int{}, done: make(chan struct{})}
+	counting := "a"
+	n.counting.Store(&counting)
 	m, err := New(Deps{
 		Self: self, Seeds: seeds,
 		Topics: map[string]*mirror.Table{"t": n.table},
@@ -65,7 +70,7 @@
 			return News{Load: placement.Report{Sends: []placement.Send{{Backend: "b", WorkMS: 1}}}}
 		},
 		Counts:    func() []usagewindow.Line { return []usagewindow.Line{{Window: 1, Organisation: "o", Requests: 1}} },
-		CountsFor: func(peer string) bool { return peer == "a" },
+		CountsFor: func(peer string) bool { return peer == *n.counting.Load() },
 		Heard: func(from Member, news *News) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
--- a/pkg/mesh/relayed.go
+++ b/pkg/mesh/relayed.go
@@ -60,8 +60,10 @@
 	acting bool
 	// relays are those to exchange news with.
 	relays []*memberState
-	// counted are the members that are told usage counts, probed those that are
-	// asked whether they are alive.
+	// countsDue tells that members that need usage counts are told them.
+	countsDue bool
+	// counted are those of them that are no relays of the round, probed the members
+	// that are asked whether they are alive.
 	counted, probed []*memberState
 }
 
@@ -74,7 +76,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.watch(now)
-	p := plan{acting: now.Sub(m.drafted) < draftedFor}
+	p := plan{acting: now.Sub(m.drafted) < draftedFor, countsDue: countsDue}
 	sites := map[string][]Member{m.deps.Self.DataCentre: {m.deps.Self}}
 	for _, l := range live {
 		if s := m.members[l.Host]; s != nil && now.Before(s.failedUntil) {
@@ -150,35 +152,35 @@
 	for _, s := range p.probed {
 		go m.exchange(ctx, s, bare)
 	}
-	if len(p.counted) > 0 {
-		counted := *bare
-		counted.Counted, counted.Counts = true, m.deps.Counts()
-		for _, s := range p.counted {
-			go m.exchange(ctx, s, &counted)
-		}
+	for _, s := range p.counted {
+		go m.exchange(ctx, s, m.addressed(bare, m.nameOf(s)))
 	}
 	switch {
 	case p.acting:
 		m.post(m.compose(), started)
 		m.board.seal(started)
 		for _, s := range p.relays {
-			go m.ask(ctx, s, *bare, ScopeOwn)
+			go m.ask(ctx, s, p, bare, ScopeOwn)
 		}
 	case len(p.relays) > 0:
 		m.board.clear()
-		go m.ask(ctx, p.relays[0], *m.compose(), ScopeAll)
+		go m.ask(ctx, p.relays[0], p, m.compose(), ScopeAll)
 	}
 	m.pause(ctx, relayInterval-time.Since(started))
 }
 
 // ask exchanges with a relay.
-func (m *Mesh) ask(ctx context.Context, s *memberState, message Message, scope Scope) {
+func (m *Mesh) ask(ctx context.Context, s *memberState, p plan, message *Message, scope Scope) {
+	if p.countsDue {
+		message = m.addressed(message, m.nameOf(s))
+	}
+	wanting := *message
 	m.mu.Lock()
-	message.Want = Want{Scope: scope, After: s.bundle}
+	wanting.Want = Want{Scope: scope, After: s.bundle}
 	m.mu.Unlock()
 	limited, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	if m.exchange(limited, s, &message) || ctx.Err() != nil {
+	if m.exchange(limited, s, &wanting) || ctx.Err() != nil {
 		return
 	}
 	m.mu.Lock()
--- a/pkg/mesh/relayed_test.go
+++ b/pkg/mesh/relayed_test.go
@@ -234,3 +234,28 @@
 	assert.Equal(t, heard, n.hears("b"), "it has stopped")
 	assert.Empty(t, n.Live())
 }
+
+// The holder of the duties is often a relay too.
+func TestRelayGetsTheUsageCountsOfAllHosts(t *testing.T) {
+	nodes := deployment(t, 9)
+	var holder *node
+	for _, n := range nodes {
+		if n.acting.Load() {
+			holder = n
+		}
+	}
+	require.NotNil(t, holder)
+	for _, n := range nodes {
+		n.counting.Store(&holder.deps.Self.Host)
+	}
+	for _, n := range nodes {
+		if n == holder {
+			continue
+		}
+		assert.Eventually(t, func() bool {
+			holder.mu.Lock()
+			defer holder.mu.Unlock()
+			return holder.counted[n.deps.Self.Host] > 0
+		}, 3*countsInterval, 20*time.Millisecond, n.deps.Self.Host)
+	}
+}
