Count what hosts that start together admit before they meet

Cause: a host takes the first report of a peer as the start of its count, since it cannot tell how recent the use before is. Change: a report tells the age of its host. What a peer that has not run for longer than this host has used counts from its start.

--- a/pkg/edgehost/exchange.go
+++ b/pkg/edgehost/exchange.go
@@ -48,7 +48,7 @@
 // news is what this host tells its peers.
 func (h *Host) news(whole bool) mesh.News {
 	h.findDeputy()
-	n := mesh.News{Load: h.fleet.Report(), Quota: h.quota.Use(whole), Suspects: h.gateway.Suspects()}
+	n := mesh.News{Load: h.fleet.Report(), Quota: h.quota.Use(whole, time.Now()), Suspects: h.gateway.Suspects()}
 	if fence, mine := h.duties.Mine(); mine {
 		n.Holding = mesh.Holding{Holder: h.self.Host, Fence: fence}
 		n.Switching = *h.switching.Load()
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -32,6 +32,10 @@
 // keeps to that share by itself.
 const peerForgotten = 12 * time.Second
 
+// startsTogether is the difference in age up to which hosts count as started
+// together.
+const startsTogether = 300 * time.Millisecond
+
 // startShareMost bounds the burst of a host that has just started: it may not
 // have met its peers yet.
 const startShareMost = 0.25
@@ -71,14 +75,16 @@
 // exported for net/rpc. Unit: tokens or requests.
 type Use struct {
 	// Whole tells that all organisations are in it. Others have those that changed.
-	Whole    bool
+	Whole bool
+	// Age is the time since the host started.
+	Age      time.Duration
 	Admitted map[model.OrganisationID]float64
 	// Refused has no entry for an organisation that was never refused.
 	Refused map[model.OrganisationID]float64
 }
 
 func (u Use) clone() Use {
-	c := Use{Whole: u.Whole, Admitted: maps.Clone(u.Admitted), Refused: maps.Clone(u.Refused)}
+	c := Use{Whole: u.Whole, Age: u.Age, Admitted: maps.Clone(u.Admitted), Refused: maps.Clone(u.Refused)}
 	if c.Admitted == nil {
 		c.Admitted = map[model.OrganisationID]float64{}
 	}
@@ -225,10 +231,10 @@
 
 // Use reports to the peers what this host has admitted and refused: all, or what has
 // changed since the last report.
-func (b *Book) Use(whole bool) Use {
+func (b *Book) Use(whole bool, now time.Time) Use {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	u := Use{Whole: whole, Admitted: map[model.OrganisationID]float64{}, Refused: map[model.OrganisationID]float64{}}
+	u := Use{Whole: whole, Age: now.Sub(b.started), Admitted: map[model.OrganisationID]float64{}, Refused: map[model.OrganisationID]float64{}}
 	tell := func(from, told, to map[model.OrganisationID]float64) {
 		for org, sum := range from {
 			if u.Whole || sum != told[org] {
@@ -250,7 +256,10 @@
 	defer b.mu.Unlock()
 	p := b.peers[host]
 	if p == nil || p.incarnation != incarnation {
-		first := p == nil || p.incarnation == ""
+		// What a host that has not run for longer than this one has used is as recent as
+		// what fills this one's buckets. Hosts that start together after the loss of all
+		// admit requests before they hear of each other.
+		first := (p == nil || p.incarnation == "") && use.Age > now.Sub(b.started)+startsTogether
 		if first && !use.Whole {
 			// Without a sum to start from, all that an organisation has ever used would
 			// count as used now.
