Log who relays, and end relaying with few hosts

Cause: nothing in the logs told which relay a host used, and a relay whose peers became few went on collecting news that nobody asked for. Change: a line at the begin and end of relaying and at each change of the relay, with what decided it; the state dump tells whether the host relays. Shown by: a test in which what a former relay heard piled up.

--- a/pkg/edgehost/run.go
+++ b/pkg/edgehost/run.go
@@ -112,7 +112,7 @@
 	holder, fence := h.duties.Holding()
 	state := map[string]any{
 		"host": h.self, "ready": h.ready(), "stopping": h.stopping.Load(), "members": h.mesh.Live(),
-		"backends": h.fleet.List(), "holder": holder, "fence": fence, "now": h.clock.Now(),
+		"backends": h.fleet.List(), "holder": holder, "fence": fence, "now": h.clock.Now(), "relaying": h.mesh.Relaying(),
 	}
 	if c := h.catalog.Load(); c != nil {
 		state["configuration"] = c.Version
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -87,6 +87,8 @@
 	countsTold time.Time
 	// acting is set while the host is a relay.
 	acting atomic.Bool
+	// relay is the name of the last relay that the host used; only Run uses it.
+	relay string
 	// board is what a relay has heard.
 	board board
 	// drafted is when a host last asked this one for what a relay has heard.
@@ -160,6 +162,7 @@
 		if m.relayed(time.Now()) {
 			m.relayedRound(ctx)
 		} else {
+			m.endRelaying()
 			m.round(ctx)
 		}
 	}
@@ -339,6 +342,9 @@
 	return interval
 }
 
+// Relaying tells whether the host passes on the news of others.
+func (m *Mesh) Relaying() bool { return m.acting.Load() }
+
 // Kick starts an exchange at once, so that a change reaches the peers.
 func (m *Mesh) Kick() {
 	select {
--- a/pkg/mesh/relayed.go
+++ b/pkg/mesh/relayed.go
@@ -60,8 +60,10 @@
 
 // plan is what a host does in a round with relays.
 type plan struct {
-	// acting tells that the host is a relay.
-	acting bool
+	// acting tells that the host is a relay, drafted that another asked it to be.
+	acting, drafted bool
+	// hosts is the number of live hosts.
+	hosts int
 	// relays are those to exchange news with.
 	relays []*memberState
 	// countsDue tells that members that need usage counts are told them.
@@ -80,7 +82,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.watch(now)
-	p := plan{acting: now.Sub(m.drafted) < draftedFor, countsDue: countsDue}
+	p := plan{drafted: now.Sub(m.drafted) < draftedFor, hosts: len(live) + 1, countsDue: countsDue}
 	sites := map[string][]Member{m.deps.Self.DataCentre: {m.deps.Self}}
 	for _, l := range live {
 		if s := m.members[l.Host]; s != nil && now.Before(s.failedUntil) {
@@ -90,7 +92,7 @@
 	}
 	near := relaysOf(sites[m.deps.Self.DataCentre])
 	isSelf := func(r Member) bool { return r.Host == m.deps.Self.Host }
-	p.acting = p.acting || slices.ContainsFunc(near, isSelf)
+	p.acting = p.drafted || slices.ContainsFunc(near, isSelf)
 	if p.acting {
 		for _, hosts := range sites {
 			for _, r := range relaysOf(hosts) {
@@ -150,9 +152,9 @@
 func (m *Mesh) relayedRound(ctx context.Context) {
 	started := time.Now()
 	p := m.plan(started)
+	m.noteRole(p)
 	bare := m.bare()
 	bare.Relaying = p.acting
-	m.acting.Store(p.acting)
 	for _, s := range p.probed {
 		go m.exchange(ctx, s, bare)
 	}
@@ -173,6 +175,30 @@
 	m.pause(ctx, relayInterval-time.Since(started))
 }
 
+// noteRole logs the begin and the end of the host's work as a relay, and a change of
+// the relay that it uses.
+func (m *Mesh) noteRole(p plan) {
+	if m.acting.Swap(p.acting) != p.acting {
+		m.deps.Log.Info("relaying changed", zap.Bool("relaying", p.acting), zap.Bool("asked_to", p.drafted), zap.Int("hosts", p.hosts))
+	}
+	if p.acting || len(p.relays) == 0 {
+		return
+	}
+	if name := m.nameOf(p.relays[0]); name != m.relay {
+		m.deps.Log.Info("relay chosen", zap.String("peer", name), zap.String("before", m.relay), zap.Int("hosts", p.hosts))
+		m.relay = name
+	}
+}
+
+// endRelaying ends the work as a relay where hosts exchange directly again.
+func (m *Mesh) endRelaying() {
+	if !m.acting.Load() {
+		return
+	}
+	m.noteRole(plan{})
+	m.board.clear()
+}
+
 // wholeDue tells whether the next message has to be whole.
 func (m *Mesh) wholeDue() bool { return m.number%wholeEvery == 0 }
 
--- a/pkg/mesh/relayed_test.go
+++ b/pkg/mesh/relayed_test.go
@@ -288,3 +288,14 @@
 		}, 3*countsInterval, 20*time.Millisecond, n.deps.Self.Host)
 	}
 }
+
+func TestRelayEndsWhenFewHostsAreLeft(t *testing.T) {
+	n := startNode(t, "a", address(t))
+	n.acting.Store(true)
+	n.board.post(Relayed{From: Member{Host: "b"}, Number: 1}, time.Now(), true)
+	require.Eventually(t, func() bool {
+		n.board.mu.Lock()
+		defer n.board.mu.Unlock()
+		return !n.acting.Load() && len(n.board.open) == 0
+	}, 5*interval, 10*time.Millisecond, "what it heard would pile up")
+}
