--- a/pkg/logstory/report.go
+++ b/pkg/logstory/report.go
@@ -239,7 +239,7 @@
 // listed are the messages whose lines the report lists.
 var listed = map[string]bool{
 	"host starts": true, "host stops": true, "host stopped": true, "the process stood still": true,
-	"store lost": true, "store answers": true, "peer lost": true, "duties claimed": true, "duties given up": true,
+	"store lost": true, "store answers": true, "peer lost": true, "relay does not answer": true, "duties claimed": true, "duties given up": true,
 	"configuration in force": true, "backend servers ordered": true, "stage ordered": true, "backend server gone": true,
 	"time of day corrected by the peers": true, "log lines dropped": true,
 }
