Admit an equal part of each quota until a host has met its peers

Each host used a quarter of the burst and its own idea of the demand until it had heard of the others. Change: for 1.2 s after its start a host admits by the quota over the number of hosts, and nothing of a burst; the count of its use goes on from there. Ruled out: relays (configurations and peers are known within 0.7 s), the exchange of sums (the overshoot is over before the first one).

--- a/pkg/edgehost/exchange.go
+++ b/pkg/edgehost/exchange.go
@@ -104,13 +104,14 @@
 // shareSlack gives this host its part of the slack of resends. The part is for
 // the largest number of hosts that may be alive.
 func (h *Host) shareSlack() {
-	hosts := max(h.mesh.Known()+1, slackHostsLeast)
-	h.gateway.SetRetrySlack(retryShare * h.settings.RetrySlack / float64(hosts))
+	h.gateway.SetRetrySlack(retryShare * h.settings.RetrySlack / float64(h.hostsMost()))
 }
 
-// slackHostsLeast is the number of hosts among which the slack is divided before
-// all were met.
-const slackHostsLeast = 8
+// hostsMost is the largest number of hosts that may be alive.
+func (h *Host) hostsMost() int { return max(h.mesh.Known()+1, hostsLeast) }
+
+// hostsLeast is the number of hosts that a host reckons with before it has met all.
+const hostsLeast = 8
 
 // quotaOf is an organisation's quota in the configuration in force.
 func (h *Host) quotaOf(org model.OrganisationID) quota.Limits {
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -36,9 +36,10 @@
 // together.
 const startsTogether = 300 * time.Millisecond
 
-// startShareMost bounds the burst of a host that has just started: it may not
-// have met its peers yet.
-const startShareMost = 0.25
+// meetingTime is the time after its start in which a host may not have heard of all
+// peers. Until then it admits an equal part of each quota, and nothing of a burst:
+// after a loss of all hosts the bursts were used shortly before.
+const meetingTime = 1200 * time.Millisecond
 
 const (
 	// settleTime is the time in which a debt is paid back, or what is left of a
@@ -61,6 +62,8 @@
 	started time.Time
 	// limits tells the quota of an organisation.
 	limits func(model.OrganisationID) Limits
+	// hosts is the number of hosts that may be alive, with this one.
+	hosts func() int
 
 	mu      sync.Mutex
 	buckets map[model.OrganisationID]*bucket
@@ -113,11 +116,13 @@
 }
 
 // NewBook returns an empty book of a host that starts now. limits tells the quota
-// of an organisation in the configuration in force.
-func NewBook(now time.Time, limits func(model.OrganisationID) Limits) *Book {
+// of an organisation in the configuration in force, hosts how many hosts may be
+// alive.
+func NewBook(now time.Time, limits func(model.OrganisationID) Limits, hosts func() int) *Book {
 	return &Book{
 		started: now,
 		limits:  limits,
+		hosts:   hosts,
 		buckets: map[model.OrganisationID]*bucket{},
 		own:     Use{}.clone(),
 		told:    Use{}.clone(),
@@ -141,10 +146,23 @@
 	// A request that is larger than the burst passes when the bucket is full.
 	room := limits.Burst * part
 	full := k.level >= room
-	k.owed = min(k.owed+k.admits(part), owedMost)
-	if k.level < min(cost, room) || !full && k.owed < 1 {
+	meeting := now.Sub(b.started) < meetingTime
+	short := k.level < min(cost, room)
+	if meeting {
+		equal := limits.Rate / float64(max(b.hosts(), 1))
+		k.owed = min(k.owed+k.admitsOf(equal), owedMost)
+		short = b.own.Admitted[org] > equal*now.Sub(b.started).Seconds()
+		full = false
+	} else {
+		k.owed = min(k.owed+k.admits(part), owedMost)
+	}
+	if short || !full && k.owed < 1 {
 		b.own.Refused[org] += cost
-		return false, k.wait(cost, part)
+		wait = k.wait(cost, part)
+		if meeting {
+			wait = max(wait, b.started.Add(meetingTime).Sub(now))
+		}
+		return false, wait
 	}
 	k.owed = max(k.owed-1, 0)
 	k.level -= cost
@@ -158,9 +176,12 @@
 
 // admits is the share of requests that may be admitted.
 func (k *bucket) admits(part float64) float64 {
-	return min(max((k.limits.Rate*part+k.level/settleTime.Seconds())/k.demand, 0), 1)
+	return k.admitsOf(k.limits.Rate*part + k.level/settleTime.Seconds())
 }
 
+// admitsOf is the share of the known demand that a rate allows.
+func (k *bucket) admitsOf(rate float64) float64 { return min(max(rate/k.demand, 0), 1) }
+
 // wait is the time until a refused request would find room: until the level allows
 // it, and longer the more ask.
 func (k *bucket) wait(cost, part float64) time.Duration {
@@ -185,7 +206,7 @@
 	if k == nil {
 		// An organisation that has sent nothing since the start of the host may
 		// have used its quota at others before.
-		k = &bucket{limits: limits, level: limits.Burst * b.startShare(), at: b.started, owed: rand.Float64()}
+		k = &bucket{limits: limits, at: b.started, owed: rand.Float64()}
 		b.buckets[org] = k
 	}
 	if k.limits != limits {
@@ -197,12 +218,6 @@
 	return k
 }
 
-// startShare is the part of a burst that a host may use before it has heard how
-// much of it others have used.
-func (b *Book) startShare() float64 {
-	return min(startShareMost, 1/float64(len(b.peers)+1))
-}
-
 // share is the part of a quota that is used by the hosts that hear each other.
 func (b *Book) share(now time.Time) float64 {
 	heard, known := 1, 1
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -19,8 +19,11 @@
 	limits = Limits{Rate: 100000, Burst: 100000}
 )
 
+// alone is the number of hosts of a book without peers.
+func alone() int { return 1 }
+
 func newBook(l Limits) *Book {
-	return NewBook(start, func(model.OrganisationID) Limits { return l })
+	return NewBook(start, func(model.OrganisationID) Limits { return l }, alone)
 }
 
 // group is a number of hosts that exchange their sums at an interval.
@@ -28,14 +31,28 @@
 	books    []*Book
 	names    []string
 	interval time.Duration
+	// restartAt is when all hosts start again, 0 for never. They hear of each other
+	// 0.9 s later.
+	restartAt   time.Duration
+	incarnation string
+}
+
+// restart loses what all hosts know.
+func (g *group) restart(now time.Time) {
+	g.incarnation = "2"
+	for i, b := range g.books {
+		g.books[i] = NewBook(now, b.limits, b.hosts)
+	}
 }
 
 func newGroup(n int) *group { return newGroupOf(n, limits) }
 
 func newGroupOf(n int, limits Limits) *group {
-	g := &group{interval: 200 * time.Millisecond}
+	g := &group{interval: 200 * time.Millisecond, incarnation: "1"}
 	for i := range n {
-		g.books = append(g.books, newBook(limits))
+		b := newBook(limits)
+		b.hosts = func() int { return n }
+		g.books = append(g.books, b)
 		g.names = append(g.names, fmt.Sprint("h", i))
 	}
 	for i := range g.books {
@@ -54,7 +71,7 @@
 		sums := from.Use(true, now)
 		for j, to := range g.books {
 			if i != j && !silent[i] && !silent[j] {
-				to.Hear(g.names[i], "1", sums, now)
+				to.Hear(g.names[i], g.incarnation, sums, now)
 			}
 		}
 	}
@@ -68,7 +85,11 @@
 	left := 0.0
 	for at := time.Duration(0); at < length; at += step {
 		now := start.Add(at)
-		if at%g.interval == 0 {
+		if g.restartAt > 0 && at == g.restartAt {
+			g.restart(now)
+		}
+		meeting := g.restartAt > 0 && at >= g.restartAt && at < g.restartAt+900*time.Millisecond
+		if at%g.interval == 0 && !meeting {
 			g.exchange(now, silent)
 		}
 		sum := 0.0
@@ -140,6 +161,38 @@
 	}
 }
 
+// All hosts lose power while an organisation sends many times its quota, and get
+// requests half a second after their start, when they hear of each other late.
+func TestQuotaHoldsOverALossOfAllHosts(t *testing.T) {
+	for _, hosts := range []int{8, 88} {
+		limits := Limits{Rate: 1_000_000, Burst: 1_000_000}
+		const slack = 190_000
+		g := newGroupOf(hosts, limits)
+		g.restartAt = 10 * time.Second
+		offered := func(at time.Duration) float64 {
+			switch {
+			case at < 6*time.Second:
+				return 0.5 * limits.Rate
+			case at >= 9500*time.Millisecond && at < 10500*time.Millisecond:
+				return 0
+			case at >= 10500*time.Millisecond && at < 11*time.Second:
+				// All callers come back at once.
+				return 15 * limits.Rate
+			}
+			return 7.5 * limits.Rate
+		}
+		admitted, _ := g.play(1, 25*time.Second, offered, nil)
+		most := mostIn(admitted)
+		t.Logf("%d hosts: %.2f of the quota and what is allowed beyond", hosts, most/((limits.Rate*8+limits.Burst)*1.1+slack))
+		assert.LessOrEqual(t, most, (limits.Rate*8+limits.Burst)*1.1+slack, "%d hosts", hosts)
+		after := 0.0
+		for _, n := range admitted[240:400] {
+			after += n
+		}
+		assert.GreaterOrEqual(t, after, 0.85*8*limits.Rate, "%d hosts: the quota is used", hosts)
+	}
+}
+
 func TestHotOrganisationUsesItsWholeQuota(t *testing.T) {
 	admitted, _ := newGroup(8).play(1, 30*time.Second, func(time.Duration) float64 { return 3 * limits.Rate }, nil)
 	sum := 0.0
@@ -187,7 +240,7 @@
 
 func TestLowerQuotaHoldsAtOnce(t *testing.T) {
 	current := limits
-	b := NewBook(start, func(model.OrganisationID) Limits { return current })
+	b := NewBook(start, func(model.OrganisationID) Limits { return current }, alone)
 	b.Peer("p", start)
 	for i := range 40 {
 		b.Hear("p", "1", Use{}, start.Add(time.Duration(i)*100*time.Millisecond))
@@ -242,21 +295,22 @@
 // Reports are part of ten messages a second of each host.
 func TestReportsTellWhatChangedOrAll(t *testing.T) {
 	a, b := newBook(limits), newBook(limits)
-	_, _ = a.Admit("quiet", 5, start)
-	b.Hear("a", "1", a.Use(true, start), start)
+	at := start.Add(10 * time.Second)
+	_, _ = a.Admit("quiet", 5, at)
+	b.Hear("a", "1", a.Use(true, at), at)
 	for i := 1; i < 6; i++ {
-		_, _ = a.Admit(org, 100, start)
-		u := a.Use(false, start)
+		_, _ = a.Admit(org, 100, at)
+		u := a.Use(false, at)
 		assert.False(t, u.Whole)
 		assert.Equal(t, map[model.OrganisationID]float64{org: float64(100 * i)}, u.Admitted)
 		if i%2 == 0 {
-			b.Hear("a", "1", u, start)
+			b.Hear("a", "1", u, at)
 		}
 	}
-	whole := a.Use(true, start)
+	whole := a.Use(true, at)
 	assert.True(t, whole.Whole)
 	assert.Len(t, whole.Admitted, 2)
-	b.Hear("a", "1", whole, start)
+	b.Hear("a", "1", whole, at)
 	assert.Equal(t, a.own.Admitted, b.peers["a"].use.Admitted, "reports that were lost are made good")
 }
 
@@ -272,7 +326,7 @@
 	require.Positive(t, used.Admitted[org])
 	b.Hear("a", "1", used, later)
 	require.Contains(t, b.buckets, org)
-	assert.InDelta(t, limits.Burst/4+0.2*limits.Rate-used.Admitted[org], b.buckets[org].level, 1)
+	assert.InDelta(t, 0.2*limits.Rate-used.Admitted[org], b.buckets[org].level, 1)
 
 	older := newBook(limits)
 	older.Hear("a", "1", Use{Whole: true, Age: time.Second, Admitted: used.Admitted}, later)
@@ -282,14 +336,15 @@
 
 func TestUseOfAPeerCountsFromItsFirstWholeReport(t *testing.T) {
 	b := newBook(limits)
+	later := start.Add(10 * time.Second)
 	use := func(whole bool, sum float64) Use {
 		return Use{Whole: whole, Age: time.Hour, Admitted: map[model.OrganisationID]float64{org: sum}}
 	}
-	b.Hear("p", "1", use(false, 50*limits.Rate), start)
-	b.Hear("p", "1", use(true, 50*limits.Rate), start)
-	ok, _ := b.Admit(org, 10, start.Add(time.Second))
+	b.Hear("p", "1", use(false, 50*limits.Rate), later)
+	b.Hear("p", "1", use(true, 50*limits.Rate), later)
+	ok, _ := b.Admit(org, 10, later)
 	assert.True(t, ok, "what was used before is no debt")
-	b.Hear("p", "1", use(false, 60*limits.Rate), start.Add(time.Second))
-	ok, _ = b.Admit(org, 10, start.Add(time.Second))
+	b.Hear("p", "1", use(false, 60*limits.Rate), later)
+	ok, _ = b.Admit(org, 10, later)
 	assert.False(t, ok)
 }
