Do not take a host without copies for a reader of the store

Cause: reading the change as a newcomer: a relayed message of a host that has no copies yet told an age of 0 for its last read of the store, so that hosts of its data centre whose names follow took it for the one that reads. Shown by: a test that failed before. Ruled out: messages told directly, which tell nothing in that case.

--- a/pkg/mesh/board.go
+++ b/pkg/mesh/board.go
@@ -22,7 +22,7 @@
 	Number uint64
 	// Age is the time from the message to the bundle.
 	Age time.Duration
-	// ReadAge is the time since the sender has read the store, 0 if it never has.
+	// ReadAge is the time since the sender has read the store.
 	ReadAge time.Duration
 	News    News
 }
--- a/pkg/mesh/relayed.go
+++ b/pkg/mesh/relayed.go
@@ -221,12 +221,19 @@
 	m.deps.Log.Info("relay does not answer", zap.String("peer", name), zap.Duration("left_out_for", relayPause))
 }
 
+// neverRead stands for the age of the last read of a host that has no copies yet. It
+// is above any age at which a host counts as a reader of the store.
+const neverRead = time.Hour
+
 // post adds what a host has told this relay itself.
 func (m *Mesh) post(message *Message, at time.Time) {
 	r := Relayed{From: message.From, Life: lifeOf(message.From.Incarnation), Number: message.Number, News: message.News}
 	if message.Number > introducedBy && message.Number%membersEvery != 0 {
 		r.From = Member{Host: message.From.Host}
 	}
+	if len(message.Copies) == 0 {
+		r.ReadAge = neverRead
+	}
 	for _, c := range message.Copies {
 		r.ReadAge = max(r.ReadAge, c.ReadAge)
 	}
--- a/pkg/mesh/relayed_test.go
+++ b/pkg/mesh/relayed_test.go
@@ -299,3 +299,17 @@
 		return !n.acting.Load() && len(n.board.open) == 0
 	}, 5*interval, 10*time.Millisecond, "what it heard would pile up")
 }
+
+func TestHostWithoutCopiesIsNoReaderOfTheStore(t *testing.T) {
+	relay, n := startNode(t, "r", address(t)), startNode(t, "x", address(t))
+	now := time.Now()
+	for number, copies := range []map[string]Copy{nil, {"t": {End: 1}}} {
+		from := Member{Host: "b", Incarnation: "1", Address: "127.0.0.1:1", DataCentre: "z"}
+		relay.post(&Message{From: from, Number: uint64(number) + 1, Copies: copies}, now)
+		relay.board.mu.Lock()
+		posted := relay.board.open[len(relay.board.open)-1].relayed
+		relay.board.mu.Unlock()
+		n.hearRelayed(&posted, now)
+		assert.Equal(t, len(copies) == 0, n.Reader(), "x reads unless b does")
+	}
+}
