Show that requests are lost when a sound server falls silent

Callers would see a stream that ends before its last event, or a 502, within the stall timeout although their server would have gone on: the watchdog cancels the attempt as soon as another server is expected to serve the request, and the request is then lost if that server refuses it, accepts no connection, breaks off, or if the predicted times have grown. The same holds for idempotent calls that have waited for half of their time.

Tests that fail have the build tag knownred: all 8 cases of TestStreamOfASilentEngineIsNotLostToOthers, each before the response, before an event and after two events, and all 5 cases of TestCallOfASilentServerIsNotLostToOthers, each before the response and inside the body.

--- /dev/null
+++ b/pkg/gateway/silent_red_test.go
@@ -0,0 +1,98 @@
+//go:build knownred
+
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/redwingpath/redwingpath/pkg/model"
+	"github.com/redwingpath/redwingpath/pkg/placement"
+)
+
+// resetInsideFirstEvent begins a stream and resets the connection inside the first event.
+func resetInsideFirstEvent(b *backendServer, conn net.Conn, r *http.Request) {
+	b.runs.Add(1)
+	_, _ = fmt.Fprintf(conn, signedHead+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nid: 99\nda", r.Header.Get("X-Id"))
+	time.Sleep(5 * time.Millisecond)
+	reset(conn)
+	_ = conn.Close()
+}
+
+func oneRetry(s *Settings) { s.RetrySlack, s.RetryRatio = 1, 0 }
+
+// refuseAndDelayOthers makes the first of several engines that gets the request refuse it,
+// while the predicted times at the rest of them grow beyond any deadline.
+func (l *workLog) refuseAndDelayOthers(bed func() *testbed) requestHandler {
+	var once sync.Once
+	return func(b *backendServer, conn net.Conn, r *http.Request) {
+		refuses := false
+		once.Do(func() { refuses = true })
+		if !refuses {
+			l.serve(b, conn, r)
+			return
+		}
+		fleet := bed().fleet
+		for _, other := range fleet.List() {
+			if strings.HasPrefix(string(other.ID), "other") && string(other.ID) != b.id {
+				delayBackend(fleet, other.ID)
+			}
+		}
+		refuse(b, conn, r)
+	}
+}
+
+// delayBackend makes the predicted time at an engine longer than any deadline.
+func delayBackend(fleet *placement.Fleet, id model.BackendID) {
+	request := placement.Request{Service: "model", PromptTokens: 1 << 20}
+	for _, other := range fleet.List() {
+		if other.ID != id {
+			request.Exclude = append(request.Exclude, other.ID)
+		}
+	}
+	if plan, ok := fleet.Place(&request, time.Now()); ok {
+		fleet.Send(plan, &request, time.Now())
+	}
+}
+
+// Guards against cancelling the run of a sound engine for others that do not serve the
+// stream.
+func TestStreamOfASilentEngineIsNotLostToOthers(t *testing.T) {
+	for name, o := range map[string]others{
+		"that refuses":                       {handlers: []requestHandler{refuse}},
+		"that refuses, four attempts":        {handlers: []requestHandler{refuse}, attempts: 4},
+		"that accepts no connection":         {closed: true},
+		"that breaks off at once":            {handlers: []requestHandler{closeAfterRun}},
+		"that resets inside its first event": {handlers: []requestHandler{resetInsideFirstEvent}},
+		"of which five refuse":               {handlers: slices.Repeat([]requestHandler{refuse}, 5), attempts: 8},
+		"that uses up the retry budget":      {handlers: slices.Repeat([]requestHandler{refuse}, 2), settings: oneRetry, attempts: 4},
+	} {
+		t.Run(name, func(t *testing.T) { requireWholeStream(t, "/say/", only(o)) })
+	}
+	t.Run("whose predicted time has grown", func(t *testing.T) {
+		requireWholeStream(t, "/say/", func(l *workLog, bed func() *testbed) others {
+			return others{handlers: slices.Repeat([]requestHandler{l.refuseAndDelayOthers(bed)}, 3), attempts: 4}
+		})
+	})
+}
+
+// Guards against cancelling the run of a sound server for others that do not answer.
+func TestCallOfASilentServerIsNotLostToOthers(t *testing.T) {
+	for name, o := range map[string]others{
+		"that refuses":                  {handlers: []requestHandler{refuse}},
+		"that accepts no connection":    {closed: true},
+		"that breaks off at once":       {handlers: []requestHandler{closeAfterRun}},
+		"of which five refuse":          {handlers: slices.Repeat([]requestHandler{refuse}, 5), attempts: 8},
+		"that uses up the retry budget": {handlers: slices.Repeat([]requestHandler{refuse}, 2), settings: oneRetry, attempts: 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			requireWholeAnswer(t, http.MethodGet, "/look/", func(*workLog) others { return o })
+		})
+	}
+}
