Return to a silent server if no other one serves the request

Callers saw a stream that ended before its last event, or a 502, although its server was sound and only paused for about a second.

Cause: the stall watchdog cancels an attempt because another server is expected to serve the request, before any other server has taken it. The way back was shut: the silent server was excluded, so that a refusal, a closed port, used-up attempts or budget, or grown predictions at the others ended the request. For a stream that has begun this cuts the caller's connection.

A request that leaves a silent server now remembers it. A move takes two retries from the budget, one of them for the way back, or is not made; what was not needed is refunded. One server works on the request at a time, as before, and the return is to a server that counts as an attempt already. Keeping the first attempt open beside the second one was weighed and left: two servers could then work on one request for as long as the second one reads the prompt.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -129,6 +129,10 @@
 		c.countUsage()
 	}
 	c.placementRequest.Exclude = append(c.placementRequest.Exclude, failed.ID)
+	if errors.Is(err, errStalled) || c.returning() && errors.Is(err, errConnect) {
+		c.leaveServer(failed.ID)
+	}
+	c.placementRequest.Only = ""
 	if ctx.Err() != nil {
 		return c.contextEnded(ctx)
 	}
@@ -197,7 +201,8 @@
 	return "the connection to the backend server failed"
 }
 
-// choosePlan places the request, or rejects it if it cannot be served in time.
+// choosePlan places the request, or rejects it if it cannot be served in time. A request
+// that returns to a silent server is sent there in any case.
 func (c *call) choosePlan() (placement.Plan, *rejection) {
 	plan, ok := c.g.deps.Fleet.Place(&c.placementRequest, time.Now())
 	if !ok {
@@ -205,7 +210,7 @@
 	}
 	c.lastPlan = plan
 	remaining := c.remaining()
-	if limit := time.Duration(c.g.settings.MaxPredictedShare * float64(remaining)); plan.Predicted > limit {
+	if limit := time.Duration(c.g.settings.MaxPredictedShare * float64(remaining)); plan.Predicted > limit && !c.returning() {
 		return plan, &rejection{
 			status: http.StatusServiceUnavailable, retryAfter: plan.Predicted - limit,
 			reason: "the request would miss its deadline",
--- a/pkg/gateway/budget.go
+++ b/pkg/gateway/budget.go
@@ -66,12 +66,28 @@
 // takeRetry takes one retry from the budget of a service and reports whether the budget
 // allows it.
 func (b *retryBudgets) takeRetry(name model.PoolName, now time.Time) bool {
+	return b.takeRetries(name, 1, now)
+}
+
+// takeRetries takes a number of retries, or none if the budget does not allow all of them.
+func (b *retryBudgets) takeRetries(name model.PoolName, n int, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	serviceBudget := b.get(name, now)
-	if float64(len(serviceBudget.retries)+1) > b.ratio*float64(len(serviceBudget.requests))+b.slack {
+	if float64(len(serviceBudget.retries)+n) > b.ratio*float64(len(serviceBudget.requests))+b.slack {
 		return false
 	}
-	serviceBudget.retries = append(serviceBudget.retries, now)
+	for range n {
+		serviceBudget.retries = append(serviceBudget.retries, now)
+	}
 	return true
 }
+
+// returnRetry returns a retry that was taken and not made.
+func (b *retryBudgets) returnRetry(name model.PoolName) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.byService[name]; s != nil && len(s.retries) > 0 {
+		s.retries = s.retries[:len(s.retries)-1]
+	}
+}
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -58,6 +58,10 @@
 	prefillDuration time.Duration
 	// lastSentAt is when the latest attempt was made.
 	lastSentAt time.Time
+	// leftServers are the servers that were left because they were silent, the latest last.
+	leftServers []model.BackendID
+	// returns counts the returns to such servers.
+	returns int
 	// prefillCalls counts the calls to prefill engines.
 	prefillCalls int
 	// prefillRefused is set if the prefill engine refused the latest prefill call.
@@ -92,6 +96,7 @@
 		return rejected
 	}
 	c.g.retryBudgets.addRequest(c.service.Name, c.arrived)
+	defer c.refundReturns()
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	var rejected *rejection
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -17,6 +17,9 @@
 	for {
 		plan, rejected := c.choosePlan()
 		if rejected != nil {
+			if c.returnToSilentServer(ctx) {
+				continue
+			}
 			return rejected
 		}
 		ticket := c.g.deps.Fleet.Send(plan, &c.placementRequest, time.Now())
@@ -24,6 +27,7 @@
 		c.g.deps.Fleet.Done(ticket, c.outcomeOf(ctx, err), time.Now())
 		if err == nil && resp.StatusCode >= 500 && c.route.Repeatable() && c.mayRetryPlain() {
 			c.placementRequest.Exclude = append(c.placementRequest.Exclude, plan.Run.ID)
+			c.placementRequest.Only = ""
 			c.outcome.Retry(true)
 			continue
 		}
@@ -31,7 +35,7 @@
 			c.forwardResponse(resp, body)
 			return nil
 		}
-		if rejected := c.retryOrReject(ctx, &plan.Run, err); rejected != nil {
+		if rejected := c.retryOrReject(ctx, &plan.Run, err); rejected != nil && !c.returnToSilentServer(ctx) {
 			return rejected
 		}
 	}
@@ -50,7 +54,7 @@
 func (c *call) plainAttempt(ctx context.Context, plan *placement.Plan) (*upstream.Response, []byte, error) {
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if c.route.Repeatable() && c.attempts+1 < c.route.MaxAttempts {
+	if c.route.Repeatable() && c.attempts+1 < c.route.MaxAttempts && !c.returning() {
 		watchdog := c.watchForStall(plan.Run.ID, c.plainStallTimeout(plan), cancel)
 		defer watchdog.stop()
 	}
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/redwingpath/redwingpath/pkg/model"
 	"github.com/redwingpath/redwingpath/pkg/placement"
 )
@@ -56,14 +58,59 @@
 
 // mayMoveRequest reports whether a request may be moved away from a server that makes
 // no progress: another one is expected to serve it in time, and the retry budget allows
-// a retry, which it takes.
+// two retries, which it takes. The second one is for the way back if the other server
+// does not serve the request.
 func (c *call) mayMoveRequest(request *placement.Request) bool {
 	now := time.Now()
 	plan, ok := c.g.deps.Fleet.Place(request, now)
 	if !ok || plan.Predicted > time.Duration(c.g.settings.MaxPredictedShare*float64(c.remaining())) {
 		return false
 	}
-	return c.g.retryBudgets.takeRetry(c.service.Name, now)
+	return c.g.retryBudgets.takeRetries(c.service.Name, retriesPerMove, now)
+}
+
+const (
+	// retriesPerMove is the number of retries that a move away from a silent server takes.
+	retriesPerMove = 2
+	// maxReturns bounds the returns of a request to silent servers.
+	maxReturns = 3
+)
+
+// leaveServer records that the request has left a silent server, with a retry taken for
+// the way back.
+func (c *call) leaveServer(id model.BackendID) {
+	c.leftServers = append(c.leftServers, id)
+}
+
+// returnToSilentServer prepares another attempt at the server that the request has left
+// last because it was silent: a sound server goes on after a pause. It reports false if
+// there is no such server. It is called when no other server serves the request.
+func (c *call) returnToSilentServer(ctx context.Context) bool {
+	for ctx.Err() == nil && len(c.leftServers) > 0 && c.returns < maxReturns {
+		id := c.leftServers[len(c.leftServers)-1]
+		c.leftServers = c.leftServers[:len(c.leftServers)-1]
+		if !c.g.deps.Fleet.Usable(id) || !c.outcome.Retry(c.route.Repeatable()) {
+			c.g.retryBudgets.returnRetry(c.service.Name)
+			continue
+		}
+		c.returns++
+		c.placementRequest.Only = id
+		c.placementRequest.Exclude = slices.DeleteFunc(c.placementRequest.Exclude, func(o model.BackendID) bool { return o == id })
+		c.log.Info("request returns to a silent server", zap.String("backend", string(id)), zap.Int("events", c.events))
+		return true
+	}
+	return false
+}
+
+// returning reports whether the request is to return to a server that was silent.
+func (c *call) returning() bool { return c.placementRequest.Only != "" }
+
+// refundReturns returns the retries taken for returns that were not needed.
+func (c *call) refundReturns() {
+	for range c.leftServers {
+		c.g.retryBudgets.returnRetry(c.service.Name)
+	}
+	c.leftServers = nil
 }
 
 // stallWatchdog cancels an attempt that makes no progress if the request may be moved to
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -26,6 +26,9 @@
 	for {
 		plan, rejected := c.choosePlan()
 		if rejected != nil {
+			if c.returnToSilentServer(ctx) {
+				continue
+			}
 			return c.abortStream(rejected)
 		}
 		if plan.Prefill != nil && !c.mayPrefill() {
@@ -47,12 +50,12 @@
 			c.placementRequest.Exclude = append(c.placementRequest.Exclude, plan.Prefill.ID)
 			// A refused prefill call counts as an attempt, so that the next one is a retry.
 			// One whose response was lost does not: the run that follows is the first.
-			if c.prefillRefused && !c.g.retryBudgets.takeRetry(c.service.Name, time.Now()) {
+			if c.prefillRefused && !c.g.retryBudgets.takeRetry(c.service.Name, time.Now()) && !c.returnToSilentServer(ctx) {
 				return c.abortStream(c.attemptsExhausted(err))
 			}
 			continue
 		}
-		if rejected := c.retryOrReject(ctx, &plan.Run, err); rejected != nil {
+		if rejected := c.retryOrReject(ctx, &plan.Run, err); rejected != nil && !c.returnToSilentServer(ctx) {
 			return c.abortStream(rejected)
 		}
 	}
@@ -153,7 +156,7 @@
 // firstEventTimeout returns the time without a first event after which the request may
 // be moved to another backend server; 0 if the request cannot be retried.
 func (c *call) firstEventTimeout(plan *placement.Plan) time.Duration {
-	if !c.route.Repeatable() || c.possibleRuns+1 >= c.route.MaxAttempts {
+	if !c.route.Repeatable() || c.possibleRuns+1 >= c.route.MaxAttempts || c.returning() {
 		return 0
 	}
 	s := c.g.settings
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -367,7 +367,7 @@
 
 // accepts reports whether a server may be sent a request.
 func (s *server) accepts(r *Request) bool {
-	return !s.Leaving && !s.switching && !slices.Contains(r.Exclude, s.ID)
+	return !s.Leaving && !s.switching && !slices.Contains(r.Exclude, s.ID) && (r.Only == "" || r.Only == s.ID)
 }
 
 // Usable reports whether a server is known and not leaving.
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -75,6 +75,8 @@
 	MaxEventGap time.Duration
 	// Exclude lists servers that have already failed the request.
 	Exclude []model.BackendID
+	// Only is the only server that may get the request, empty for no such restriction.
+	Only model.BackendID
 	// ExcludePrefill excludes plans that use a prefill engine.
 	ExcludePrefill bool
 }
