Take an unframed run that ends with its connection for whole

Callers saw a stream cut after its last event, or waited for another run, when the last run of a resumed stream came with neither a length nor chunks.

Cause: finishStream called such a run broken off if the response to the caller was in chunks, or if the run had no events. It also counted as a crash of its engine. The users now state that a stream without a framing may be whole when its connection ends outside an event, resumed runs too.

A run that ends inside an event, or by a reset, is broken off as before. Where the gateway would state more than the engine did (the caller's response has a framing, or the run had no events), the engine must still accept connections: a crash closes connections as well. A first run without any event stays broken.

--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -196,7 +196,7 @@
 			}
 		}
 		if err == io.EOF {
-			return c.finishStream(resp, events, c.events-forwardedBefore)
+			return c.finishStream(ctx, resp, events, &plan.Run, c.events-forwardedBefore)
 		}
 		if err != nil {
 			resp.Abandon()
@@ -207,21 +207,35 @@
 
 // finishStream handles the end of a stream, which must not be inside an event. A resumed
 // run without events completes the stream, since its engine states that none follow the
-// last one; only a body that ended with the connection states nothing.
-func (c *call) finishStream(resp *upstream.Response, events *eventReader, forwarded int) error {
+// last one. A run without a framing that ends with its connection may be whole.
+func (c *call) finishStream(ctx context.Context, resp *upstream.Response, events *eventReader, run *placement.Backend, forwarded int) error {
 	if incomplete := events.incomplete(); len(incomplete) > 0 {
 		resp.Abandon()
 		return eris.Wrap(errInterrupted, "the stream ended inside an event")
 	}
-	if !resp.Framed() && (!c.unframed || forwarded == 0) {
+	if !resp.Framed() && !c.unframedRunIsWhole(ctx, run, forwarded) {
 		resp.Abandon()
-		return eris.Wrap(errInterrupted, "only the end of the connection marks the end of the stream")
+		return eris.Wrap(errInterrupted, "the engine has ended with its connection")
 	}
 	resp.Release()
 	c.startStream(resp)
 	return nil
 }
 
+// unframedRunIsWhole reports whether a run that ended with its connection may be whole. A
+// response to the caller without a framing states no more than the engine did. Where the
+// gateway has to state more, or the run had no events, the connection must not have ended
+// because the engine crashed.
+func (c *call) unframedRunIsWhole(ctx context.Context, run *placement.Backend, forwarded int) bool {
+	switch {
+	case c.events == 0:
+		return false
+	case c.unframed && forwarded > 0:
+		return true
+	}
+	return !c.g.deps.Pool.Refuses(ctx, run.Address)
+}
+
 // startStream sends the header of the response to the caller, once. The response to a run
 // without a framing ends with the caller's connection.
 func (c *call) startStream(resp *upstream.Response) {
--- a/pkg/gateway/unframed_test.go
+++ b/pkg/gateway/unframed_test.go
@@ -203,3 +203,52 @@
 		})
 	}
 }
+
+// Guards against taking a whole resumed run for a broken one, since it has no framing.
+func TestResumedUnframedRunIsWhole(t *testing.T) {
+	for name, last := range map[string]int{"with events": 4, "with none left": 2} {
+		t.Run("after a framed one/"+name, func(t *testing.T) {
+			r := runStreams(t, "/say/", streamRun{last: 2, end: insideEvent}, streamRun{unframed: true, last: last})
+			requireWhole(t, r, last, 2, 1)
+			assert.True(t, r.chunked)
+		})
+		t.Run("after a framed one/"+name+" and no other engine", func(t *testing.T) {
+			r := streamAt(t, "/say/", 2, streamRun{last: 2, end: insideEvent}, streamRun{unframed: true, last: last})
+			requireWhole(t, r, last, 2, 1)
+			assert.True(t, r.chunked)
+		})
+	}
+	t.Run("after an unframed one/with none left", func(t *testing.T) {
+		r := runStreams(t, "/say/", streamRun{unframed: true, last: 2, end: insideEvent}, streamRun{unframed: true, last: 2})
+		requireWhole(t, r, 2, 2, 1)
+		assert.False(t, r.chunked)
+	})
+	t.Run("after an unframed one/with none left and no other engine", func(t *testing.T) {
+		r := streamAt(t, "/say/", 2, streamRun{unframed: true, last: 2, end: insideEvent}, streamRun{unframed: true, last: 2})
+		requireWhole(t, r, 2, 2, 1)
+		assert.False(t, r.chunked)
+	})
+}
+
+// Guards against a stream that looks complete although its engine crashed.
+func TestUnframedRunOfAnEngineThatCrashedDoesNotLookComplete(t *testing.T) {
+	for name, last := range map[string]int{"after an event": 3, "before its first event": 2} {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int64
+			do := func(b *backendServer, conn net.Conn, r *http.Request) {
+				run := streamRun{last: 2, end: insideEvent}
+				if runs.Add(1) > 1 {
+					_ = b.listener.Close()
+					run = streamRun{unframed: true, last: last}
+				}
+				run.write(conn, r)
+			}
+			one, two := startBackend(t, "a", do), startBackend(t, "b", do)
+			bed := newTestbed(t, nil, one.engine(placement.StageDecode), two.engine(placement.StageDecode))
+			_, _, body, err := readStream(t, bed, "/say/")
+			assert.Error(t, err)
+			assert.Equal(t, eventsUpTo(last), body)
+			assert.EqualValues(t, 2, runs.Load())
+		})
+	}
+}
