Stop the stall watchdog while a caller reads slowly

A stream to a caller that read nothing for longer than the gap timeout (900 ms) was cancelled at its engine and run again at another one; the engine was then avoided as unresponsive. If the second engine did not serve it, the stream was cut.

Cause: the watchdog was reset before the events were written to the caller, so that it counted the time of a blocked write as silence of the engine. It is now suspended during the write and starts anew after it.

--- a/pkg/gateway/slowcaller_red_test.go
+++ b/pkg/gateway/slowcaller_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package gateway
 
 import (
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -120,6 +120,8 @@
 	mu    sync.Mutex
 	timer *time.Timer
 	limit time.Duration
+	// suspended is set while the timer is stopped; it may just have fired.
+	suspended bool
 }
 
 // watchForStall starts a watchdog for an attempt at a server. The watchdog first checks
@@ -137,7 +139,7 @@
 	w.timer = time.AfterFunc(limit, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if w.timer == nil {
+		if w.timer == nil || w.suspended {
 			return
 		}
 		if c.mayMoveRequest(&request) {
@@ -149,12 +151,22 @@
 	return w
 }
 
+// suspend stops the timer until reset.
+func (w *stallWatchdog) suspend() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil {
+		w.timer.Stop()
+		w.suspended = true
+	}
+}
+
 // reset restarts the timer with a new limit after the attempt has made progress.
 func (w *stallWatchdog) reset(limit time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.timer != nil {
-		w.limit = limit
+		w.limit, w.suspended = limit, false
 		w.timer.Reset(limit)
 	}
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -189,11 +189,13 @@
 				c.g.deps.Fleet.FirstEvent(ticket, time.Now())
 				c.countUsage()
 			}
-			watchdog.reset(c.g.settings.EventGapTimeout)
+			// The engine is not silent while the caller is slow to read.
+			watchdog.suspend()
 			if writeErr := c.forwardEvents(resp, batch); writeErr != nil {
 				resp.Abandon()
 				return writeErr
 			}
+			watchdog.reset(c.g.settings.EventGapTimeout)
 		}
 		if err == io.EOF {
 			return c.finishStream(ctx, resp, events, &plan.Run, c.events-forwardedBefore)
