Log the parts of prompts and the events of each attempt

The lines of a request now name the parts of its prompt, and a failed attempt the events it had received itself and the time since it was sent. This tells a shared part from a repeated request, an organisation or a faulty server. Tests of pkg/gateway pass.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -123,7 +123,8 @@
 func (c *call) retryOrReject(ctx context.Context, failed *placement.Backend, err error) *rejection {
 	state := c.outcome.State()
 	c.log.Info("attempt failed", zap.String("backend", string(failed.ID)), zap.Int("attempt", c.attempts),
-		zap.Stringer("state", state), zap.Int("events", c.events), zap.Error(err))
+		zap.Stringer("state", state), zap.Int("events", c.events), zap.Int("run_events", c.events-c.earlierEvents),
+		zap.Duration("since_sent", time.Since(c.lastSentAt)), zap.String("parts", partNames(c.metadata.Parts)), zap.Error(err))
 	c.g.deps.Metrics.countFailedAttempt(failed.ID, err)
 	if brokenConnection(ctx, err) && time.Since(c.lastSentAt) >= minRunDuration {
 		c.countUsage()
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -42,6 +42,8 @@
 	placementRequest placement.Request
 	// events counts the events forwarded to the caller.
 	events int
+	// earlierEvents counts those of the attempts before the latest.
+	earlierEvents int
 	// lastEventID is the id of the last event that the caller has received.
 	lastEventID string
 	headerSent  bool
--- a/pkg/gateway/report.go
+++ b/pkg/gateway/report.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/redwingpath/redwingpath/pkg/model"
+	"github.com/redwingpath/redwingpath/pkg/placement"
 )
 
 // retryAfter clamps a retry delay and adds jitter, so that callers that are rejected at
@@ -46,6 +47,18 @@
 	return false
 }
 
+// partNames returns the IDs of a prompt's parts as requests write them.
+func partNames(parts []placement.Part) string {
+	var text []byte
+	for i, p := range parts {
+		if i > 0 {
+			text = append(text, ',')
+		}
+		text = strconv.AppendUint(text, p.ID, 16)
+	}
+	return string(text)
+}
+
 // report logs and counts the end of a request.
 func (c *call) report(status int, reason string) {
 	now := time.Now()
@@ -67,7 +80,7 @@
 			zap.Duration("target", c.route.TargetLatency), zap.Duration("max_pause", c.route.TargetGap))
 	}
 	if c.metadata.HasTokenCounts {
-		fields = append(fields, zap.Int("prompt", c.metadata.PromptTokens))
+		fields = append(fields, zap.Int("prompt", c.metadata.PromptTokens), zap.String("parts", partNames(c.metadata.Parts)))
 	}
 	if c.org != nil {
 		fields = append(fields, zap.String("organisation", string(c.org.ID)), zap.Float64("cost", c.cost))
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -96,6 +96,7 @@
 func (c *call) streamAttempt(ctx context.Context, plan *placement.Plan) error {
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	c.earlierEvents = c.events
 	ticket := c.g.deps.Fleet.Send(*plan, &c.placementRequest, time.Now())
 	outgoing := OutgoingMetadata{ResumeAfter: c.lastEventID}
 	if plan.Fetch != nil && plan.Prefill == nil {
