Hold back requests with a part of the prompt that crashes engines

Callers saw streams break and 502 one engine after the other: requests that share one part of their prompts crashed each engine that began to answer them.

Cause: crashes were counted by digest of the whole request, and no two of these requests are alike; nothing looked at what crashed requests have in common. The digest was checked on arrival only, and each request beside the crashing one counted as well.

pkg/quarantine counts crashes by shared part, wherever it stands in the prompt. A crash counts against a part until a later answer to a request with it, at any host; servers that fail together are one occasion; a part that explains a crash clears the others of it; parts that only came together are held together. From three occasions on, all hosts refuse requests with the part with 503, not run, before the quota, before each attempt, and between prefill and decode. A broken connection is a crash only if the server then refuses new ones. Hosts pass on their evidence and that of others with its age, in bounded reports (bundles of relays have format 2 for that).

--- a/pkg/edgehost/exchange.go
+++ b/pkg/edgehost/exchange.go
@@ -50,7 +50,7 @@
 // the measured speeds and the quota usage of all organisations.
 func (h *Host) ownUpdate(full bool) mesh.News {
 	h.updateSuccessor()
-	n := mesh.News{Load: h.fleet.Report(), Quota: h.quota.Usage(full, time.Now()), Suspects: h.gateway.Suspects()}
+	n := mesh.News{Load: h.fleet.Report(), Quota: h.quota.Usage(full, time.Now()), Suspects: h.gateway.Suspects(), Crashes: h.gateway.CrashEvidence(full)}
 	if full {
 		n.Speeds = h.fleet.Speeds()
 	}
@@ -93,6 +93,7 @@
 		h.fleet.SetSwitching(n.Switching)
 	}
 	h.gateway.SetPeerSuspects(h.suspects.update(host, n.Suspects))
+	h.gateway.MergeCrashEvidence(n.Crashes)
 	if from.Stopped {
 		h.quota.RemovePeer(host)
 		h.fleet.RemovePeerLoad(host)
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -205,6 +205,9 @@
 // choosePlan places the request, or rejects it if it cannot be served in time. A request
 // that returns to a silent server is sent there in any case.
 func (c *call) choosePlan() (placement.Plan, *rejection) {
+	if rejected := c.rejectHeldPart(); rejected != nil {
+		return placement.Plan{}, rejected
+	}
 	plan, ok := c.g.deps.Fleet.Place(&c.placementRequest, time.Now())
 	if !ok {
 		return plan, &rejection{status: http.StatusServiceUnavailable, retryAfter: time.Second, reason: "no backend server is available"}
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -16,6 +16,7 @@
 	"github.com/redwingpath/redwingpath/pkg/catalog"
 	"github.com/redwingpath/redwingpath/pkg/model"
 	"github.com/redwingpath/redwingpath/pkg/placement"
+	"github.com/redwingpath/redwingpath/pkg/quarantine"
 )
 
 // call is the state of one request from a caller. The goroutine that serves the request
@@ -34,8 +35,16 @@
 	deadline time.Time
 	cost     float64
 	digest   string
-	outcome  atmostonce.Outcome
-	attempts int
+	// shared are the parts of the prompt that other requests may have too, heldParts the
+	// names of those for which the request was held back.
+	shared    []quarantine.PartID
+	heldParts string
+	// runEventAt is when the latest run sent its first event, answerRecorded is set once
+	// that run has answered the prompt.
+	runEventAt     time.Time
+	answerRecorded bool
+	outcome        atmostonce.Outcome
+	attempts       int
 	// possibleRuns counts the attempts that may have run the request.
 	possibleRuns     int
 	urgency          int
@@ -94,6 +103,10 @@
 	if c.crashSuspect() {
 		return &rejection{status: http.StatusBadGateway, reason: "the request has crashed the backend servers that ran it"}
 	}
+	c.shared = sharedParts(c.metadata.Parts)
+	if rejected := c.rejectHeldPart(); rejected != nil {
+		return rejected
+	}
 	if rejected := c.chargeQuota(); rejected != nil {
 		return rejected
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -34,6 +34,7 @@
 	// typicalDuration has the average duration of plain calls by service.
 	typicalDuration meanDurations
 	crashes         *crashes
+	quarantine      *quarantinedParts
 	// stopping is set once responses tell callers to close their connections.
 	stopping atomic.Bool
 	running  atomic.Int64
@@ -43,12 +44,14 @@
 
 // New returns a gateway.
 func New(s Settings, d Deps) *Gateway {
-	return &Gateway{
+	g := &Gateway{
 		settings:     s,
 		deps:         d,
 		retryBudgets: newRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow),
 		crashes:      newCrashes(),
 	}
+	g.quarantine = newQuarantinedParts(g)
+	return g
 }
 
 // NewServer returns an HTTP server for callers with the limits from the settings.
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -27,6 +27,9 @@
 	duration      *prometheus.HistogramVec
 	untrusted     *prometheus.CounterVec
 	resumed       prometheus.Counter
+	crashes       prometheus.Counter
+	holds         prometheus.Gauge
+	heldBack      prometheus.Counter
 
 	mu              sync.Mutex
 	labelled        map[model.OrganisationID]bool
@@ -59,10 +62,16 @@
 		untrusted: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "redwingpath_untrusted_responses_total", Help: "Responses that were cut, not signed or not those to the request, by backend server and cause."},
 			[]string{"server", "cause"}),
+		crashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "redwingpath_backend_crashes_total", Help: "Backend servers that crashed while they ran requests of this host with shared parts of prompts."}),
+		holds: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "redwingpath_held_prompt_parts", Help: "Parts of prompts, or combinations of them, for which requests are held back."}),
+		heldBack: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "redwingpath_held_back_requests_total", Help: "Requests that were held back for a part of their prompt."}),
 		labelled:        map[model.OrganisationID]bool{},
 		labelledServers: map[model.BackendID]bool{},
 	}
-	r.MustRegister(m.requests, m.organisations, m.failures, m.firstByte, m.duration, m.untrusted, m.resumed)
+	r.MustRegister(m.requests, m.organisations, m.failures, m.firstByte, m.duration, m.untrusted, m.resumed, m.crashes, m.holds, m.heldBack)
 	return m
 }
 
@@ -82,6 +91,9 @@
 	if reason != "" {
 		outcome = "not_served"
 	}
+	if c.heldParts != "" {
+		m.heldBack.Inc()
+	}
 	if c.org != nil {
 		m.organisations.WithLabelValues(m.organisationLabel(c.org.ID), outcome).Inc()
 	}
@@ -135,3 +147,15 @@
 func untrusted(err error) bool {
 	return errors.Is(err, errOtherRequest) || errors.Is(err, errUnsigned) || errors.Is(err, errInterrupted)
 }
+
+func (m *Metrics) countCrash() {
+	if m != nil {
+		m.crashes.Inc()
+	}
+}
+
+func (m *Metrics) setHolds(n int) {
+	if m != nil {
+		m.holds.Set(float64(n))
+	}
+}
--- a/pkg/gateway/report.go
+++ b/pkg/gateway/report.go
@@ -100,6 +100,9 @@
 	if c.longestPause > 0 {
 		fields = append(fields, zap.Duration("longest_pause", c.longestPause))
 	}
+	if c.heldParts != "" {
+		fields = append(fields, zap.String("held_parts", c.heldParts))
+	}
 	if reason == "" {
 		c.log.Info("request finished", fields...)
 		return
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -46,6 +46,9 @@
 		if errors.Is(err, errForwarded) {
 			return nil
 		}
+		if errors.Is(err, errHeldBack) {
+			continue
+		}
 		if errors.Is(err, errPrefill) && ctx.Err() == nil {
 			c.placementRequest.Exclude = append(c.placementRequest.Exclude, plan.Prefill.ID)
 			// A refused prefill call counts as an attempt, so that the next one is a retry.
@@ -97,6 +100,7 @@
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	c.earlierEvents = c.events
+	c.runEventAt, c.answerRecorded = time.Time{}, false
 	ticket := c.g.deps.Fleet.Send(*plan, &c.placementRequest, time.Now())
 	outgoing := OutgoingMetadata{ResumeAfter: c.lastEventID}
 	if plan.Fetch != nil && plan.Prefill == nil {
@@ -109,6 +113,11 @@
 			return err
 		}
 		outgoing.CacheAddress, outgoing.CacheHandle = plan.Prefill.Address, handle
+		if rejected := c.rejectHeldPart(); rejected != nil {
+			c.releasePrefill(plan.Prefill, handle)
+			c.g.deps.Fleet.Done(ticket, placement.Abandoned, time.Now())
+			return errHeldBack
+		}
 		run, ok := c.g.deps.Fleet.PlaceDecode(ticket, &c.placementRequest, time.Now())
 		if !ok {
 			c.releasePrefill(plan.Prefill, handle)
@@ -131,7 +140,10 @@
 		c.g.deps.Pool.Invalidate(plan.Run.Address)
 	}
 	if brokenConnection(ctx, err) {
-		c.recordCrash()
+		c.recordCrash(&plan.Run)
+	}
+	if err == nil {
+		c.recordAnswer()
 	}
 	return err
 }
@@ -150,8 +162,24 @@
 	return true
 }
 
-func (c *call) recordCrash() {
+// recordCrash records that the connection to a server broke while it ran the request.
+func (c *call) recordCrash(b *placement.Backend) {
 	c.g.crashes.add(c.digest, time.Now())
+	if c.runEventAt.IsZero() || time.Since(c.runEventAt) < startOfAnswer {
+		c.g.quarantine.recordBreak(b, c.shared)
+	}
+}
+
+// startOfAnswer is the time after the first event of a run within which a part of the
+// prompt may crash the engine. An engine that goes on for longer has answered it.
+const startOfAnswer = 250 * time.Millisecond
+
+// recordAnswer records, once for a run, that an engine has answered the prompt.
+func (c *call) recordAnswer() {
+	if !c.answerRecorded {
+		c.answerRecorded = true
+		c.g.quarantine.recordAnswer(c.shared)
+	}
 }
 
 // firstEventTimeout returns the time without a first event after which the request may
@@ -164,6 +192,10 @@
 	return max(s.MinStallTimeout, time.Duration(s.StallTimeoutFactor*float64(plan.Predicted)))
 }
 
+// errHeldBack means that a part of the prompt was found to crash engines while the prompt
+// was read.
+var errHeldBack = errors.New("a part of the prompt is held back")
+
 // errForwarded means that a backend server's failure was forwarded to the caller.
 var errForwarded = errors.New("the backend server's failure was passed on")
 
@@ -187,8 +219,11 @@
 		}
 		if len(batch) > 0 {
 			if !ticket.FirstEventSeen() {
-				c.g.deps.Fleet.FirstEvent(ticket, time.Now())
+				c.runEventAt = time.Now()
+				c.g.deps.Fleet.FirstEvent(ticket, c.runEventAt)
 				c.countUsage()
+			} else if time.Since(c.runEventAt) >= startOfAnswer {
+				c.recordAnswer()
 			}
 			// The engine is not silent while the caller is slow to read.
 			watchdog.suspend()
@@ -325,7 +360,7 @@
 		c.g.deps.Metrics.countFailedAttempt(b.ID, err)
 		c.g.deps.Fleet.RecordOutcome(b.ID, c.outcomeOf(ctx, err), now)
 		if brokenConnection(ctx, err) {
-			c.recordCrash()
+			c.recordCrash(b)
 		}
 		return "", eris.Wrap(errPrefill, err.Error())
 	}
--- a/pkg/gateway/testbed_test.go
+++ b/pkg/gateway/testbed_test.go
@@ -36,6 +36,13 @@
 		metadata.HasTokenCounts, metadata.PromptTokens = true, n
 		metadata.Parts = []placement.Part{{ID: 1, Tokens: n / 2}, {ID: 2, Tokens: n / 2}}
 	}
+	if parts := h.Get("X-Parts"); parts != "" {
+		metadata.Parts = nil
+		for _, part := range strings.Split(parts, ",") {
+			id, _ := strconv.ParseUint(part, 16, 64)
+			metadata.Parts = append(metadata.Parts, placement.Part{ID: id, Tokens: 10})
+		}
+	}
 	return metadata, ""
 }
 
--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -9,10 +9,12 @@
 package mesh
 
 import (
+	"slices"
 	"time"
 
 	"github.com/redwingpath/redwingpath/pkg/model"
 	"github.com/redwingpath/redwingpath/pkg/placement"
+	"github.com/redwingpath/redwingpath/pkg/quarantine"
 	"github.com/redwingpath/redwingpath/pkg/quota"
 	"github.com/redwingpath/redwingpath/pkg/usagewindow"
 )
@@ -62,6 +64,22 @@
 	// Suspects maps digests of requests that crashed backend servers to the number of
 	// crashes.
 	Suspects map[string]int
+	// Crashes are crashes of backend servers with the parts of the prompts that they
+	// ran.
+	Crashes []quarantine.Crash
+}
+
+// aged returns the crashes with the time that their update took added to their ages.
+func aged(crashes []quarantine.Crash, by time.Duration) []quarantine.Crash {
+	older := slices.Clone(crashes)
+	for i := range older {
+		older[i].Age += by
+		older[i].Parts = slices.Clone(older[i].Parts)
+		for j := range older[i].Parts {
+			older[i].Parts[j].AnswerAge += by
+		}
+	}
+	return older
 }
 
 // Message is what a host sends to a peer in an exchange.
--- a/pkg/mesh/relayed.go
+++ b/pkg/mesh/relayed.go
@@ -311,5 +311,6 @@
 	if m.relaying.Load() {
 		m.relayBuffer.addUpdate(*update, receivedAt, false)
 	}
+	update.News.Crashes = aged(update.News.Crashes, update.Age)
 	m.deps.OnUpdate(from, &update.News)
 }
--- a/pkg/mesh/wire.go
+++ b/pkg/mesh/wire.go
@@ -8,6 +8,7 @@
 
 	"github.com/redwingpath/redwingpath/pkg/model"
 	"github.com/redwingpath/redwingpath/pkg/placement"
+	"github.com/redwingpath/redwingpath/pkg/quarantine"
 	"github.com/redwingpath/redwingpath/pkg/quota"
 )
 
@@ -16,12 +17,12 @@
 
 //go:generate env GOWORK=off go tool -modfile=../../tools/go.mod msgp -unexported -io=false -tests=false -file wire.go
 
-//msgp:tuple wireBundle wireRelayed wireSender wireSend wirePart wireLoad wireSum wireSpeed wireSuspect
+//msgp:tuple wireBundle wireRelayed wireSender wireSend wirePart wireLoad wireSum wireSpeed wireSuspect wireCrash wireCrashedPart
 //msgp:ignore internedNames
 //msgp:limit arrays:65536 maps:16
 
 // bundleFormat is the version of the encoding and the first value of a bundle.
-const bundleFormat = 1
+const bundleFormat = 2
 
 type wireBundle struct {
 	Format  uint8
@@ -50,6 +51,7 @@
 	Fence     uint64
 	Switching [][]byte
 	Suspects  []wireSuspect
+	Crashes   []wireCrash
 }
 
 type wireSender struct {
@@ -90,6 +92,18 @@
 	Crashes int
 }
 
+type wireCrash struct {
+	Server []byte
+	Age    time.Duration
+	Parts  []wireCrashedPart
+}
+
+type wireCrashedPart struct {
+	ID        uint64
+	Answered  bool
+	AnswerAge time.Duration
+}
+
 // resized changes the length of a list. Elements beyond the old length keep the values
 // of earlier use, so that their memory is reused.
 func resized[T any](list []T, n int) []T {
@@ -133,6 +147,14 @@
 	for digest, crashes := range news.Suspects {
 		w.Suspects = append(w.Suspects, wireSuspect{digest, crashes})
 	}
+	w.Crashes = resized(w.Crashes, len(news.Crashes))
+	for i, c := range news.Crashes {
+		to := &w.Crashes[i]
+		to.Server, to.Age, to.Parts = append(to.Server[:0], c.Server...), c.Age, to.Parts[:0]
+		for _, p := range c.Parts {
+			to.Parts = append(to.Parts, wireCrashedPart{uint64(p.ID), p.Answered, p.AnswerAge})
+		}
+	}
 }
 
 // encodeSums overwrites a list with sums and returns it.
@@ -214,6 +236,16 @@
 	for _, s := range w.Suspects {
 		news.Suspects[s.Digest] = s.Crashes
 	}
+	if len(w.Crashes) > 0 {
+		news.Crashes = make([]quarantine.Crash, len(w.Crashes))
+	}
+	for i := range w.Crashes {
+		from, to := &w.Crashes[i], &news.Crashes[i]
+		to.Server, to.Age, to.Parts = model.BackendID(names.intern(from.Server)), from.Age, make([]quarantine.CrashedPart, len(from.Parts))
+		for j, p := range from.Parts {
+			to.Parts[j] = quarantine.CrashedPart{ID: quarantine.PartID(p.ID), Answered: p.Answered, AnswerAge: p.AnswerAge}
+		}
+	}
 	return update
 }
 
--- a/pkg/mesh/wire_gen.go
+++ b/pkg/mesh/wire_gen.go
@@ -81,6 +81,162 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *wireCrash) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendBytes(o, z.Server)
+	o = msgp.AppendDuration(o, z.Age)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0001 := range z.Parts {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint64(o, z.Parts[za0001].ID)
+		o = msgp.AppendBool(o, z.Parts[za0001].Answered)
+		o = msgp.AppendDuration(o, z.Parts[za0001].AnswerAge)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *wireCrash) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Server")
+		return
+	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Server == nil || uint32(cap(z.Server)) < zb0002 {
+		z.Server = make([]byte, zb0002)
+	} else {
+		z.Server = z.Server[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Server, bts[:zb0002])
+	bts = bts[zb0002:]
+	z.Age, bts, err = msgp.ReadDurationBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Parts")
+		return
+	}
+	if zb0003 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Parts) >= int(zb0003) {
+		z.Parts = (z.Parts)[:zb0003]
+	} else {
+		z.Parts = make([]wireCrashedPart, zb0003)
+	}
+	for za0001 := range z.Parts {
+		var zb0004 uint32
+		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0001)
+			return
+		}
+		if zb0004 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0004}
+			return
+		}
+		z.Parts[za0001].ID, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0001, "ID")
+			return
+		}
+		z.Parts[za0001].Answered, bts, err = msgp.ReadBoolBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0001, "Answered")
+			return
+		}
+		z.Parts[za0001].AnswerAge, bts, err = msgp.ReadDurationBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0001, "AnswerAge")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *wireCrash) Msgsize() (s int) {
+	s = 1 + msgp.BytesPrefixSize + len(z.Server) + msgp.DurationSize + msgp.ArrayHeaderSize + (len(z.Parts) * (23 + msgp.Uint64Size + msgp.BoolSize + msgp.DurationSize))
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z wireCrashedPart) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.ID)
+	o = msgp.AppendBool(o, z.Answered)
+	o = msgp.AppendDuration(o, z.AnswerAge)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *wireCrashedPart) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Answered, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Answered")
+		return
+	}
+	z.AnswerAge, bts, err = msgp.ReadDurationBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AnswerAge")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z wireCrashedPart) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.BoolSize + msgp.DurationSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *wireLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -190,8 +346,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *wireRelayed) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 17
-	o = append(o, 0xdc, 0x0, 0x11)
+	// array header, size 18
+	o = append(o, 0xdc, 0x0, 0x12)
 	o = msgp.AppendBytes(o, z.Host)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Sender)))
 	for za0001 := range z.Sender {
@@ -258,6 +414,14 @@
 		o = msgp.AppendString(o, z.Suspects[za0008].Digest)
 		o = msgp.AppendInt(o, z.Suspects[za0008].Crashes)
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
+	for za0009 := range z.Crashes {
+		o, err = z.Crashes[za0009].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0009)
+			return
+		}
+	}
 	return
 }
 
@@ -269,8 +433,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 17 {
-		err = msgp.ArrayError{Wanted: 17, Got: zb0001}
+	if zb0001 != 18 {
+		err = msgp.ArrayError{Wanted: 18, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -655,6 +819,28 @@
 			return
 		}
 	}
+	var zb0020 uint32
+	zb0020, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Crashes")
+		return
+	}
+	if zb0020 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Crashes) >= int(zb0020) {
+		z.Crashes = (z.Crashes)[:zb0020]
+	} else {
+		z.Crashes = make([]wireCrash, zb0020)
+	}
+	for za0009 := range z.Crashes {
+		bts, err = z.Crashes[za0009].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Crashes", za0009)
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -693,6 +879,10 @@
 	for za0008 := range z.Suspects {
 		s += 1 + msgp.StringPrefixSize + len(z.Suspects[za0008].Digest) + msgp.IntSize
 	}
+	s += msgp.ArrayHeaderSize
+	for za0009 := range z.Crashes {
+		s += z.Crashes[za0009].Msgsize()
+	}
 	return
 }
 
--- a/pkg/mesh/wire_test.go
+++ b/pkg/mesh/wire_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/redwingpath/redwingpath/pkg/model"
 	"github.com/redwingpath/redwingpath/pkg/placement"
+	"github.com/redwingpath/redwingpath/pkg/quarantine"
 	"github.com/redwingpath/redwingpath/pkg/quota"
 )
 
@@ -44,6 +45,10 @@
 				},
 				Holding: Holding{"a", 9}, Switching: []model.BackendID{"e1", "e2"},
 				Suspects: map[string]int{"\x00\xff": 2},
+				Crashes: []quarantine.Crash{
+					{Server: "e1", Age: time.Second, Parts: []quarantine.CrashedPart{{ID: 1 << 63, Answered: true, AnswerAge: time.Hour}, {ID: 5}}},
+					{Server: "e2", Parts: []quarantine.CrashedPart{{ID: 7}}},
+				},
 			},
 		},
 		{From: Member{Host: "b"}, Number: 2, News: News{Load: placement.Report{Load: placement.Load{{Backend: "e1", Running: 1}}}}},
