--- a/pkg/edgehost/configuration.go
+++ b/pkg/edgehost/configuration.go
@@ -23,7 +23,7 @@
 
 // addFollower creates the table of a topic and the follower that keeps it up to date.
 func (h *Host) addFollower(topic string, wait, interval time.Duration) {
-	var equal func(old, new []byte) bool
+	var equal func(id string, old, new []byte) bool
 	if topic == TopicBackends {
 		equal = h.sameRegistration
 	}
@@ -56,9 +56,9 @@
 
 // sameRegistration reports whether two registrations of a backend server are equal apart
 // from their heartbeats.
-func (h *Host) sameRegistration(old, new []byte) bool {
-	a, errA := h.platform.Backend("", old)
-	b, errB := h.platform.Backend("", new)
+func (h *Host) sameRegistration(id string, old, new []byte) bool {
+	a, errA := h.platform.Backend(id, old)
+	b, errB := h.platform.Backend(id, new)
 	return errA == nil && errB == nil && a == b
 }
 
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -138,7 +138,7 @@
 }
 
 func TestEquivalentRecordsAreNotPassedOn(t *testing.T) {
-	table := NewTable(func(a, b []byte) bool { return a[0] == b[0] })
+	table := NewTable(func(_ string, a, b []byte) bool { return a[0] == b[0] })
 	table.Snapshot([]Record{{Key: "a", Value: []byte("x1"), Offset: 1}}, 2, now)
 	end := table.SignificantEnd()
 	assert.Empty(t, table.Apply([]Record{{Key: "a", Value: []byte("x2"), Offset: 5}}, 6, now))
--- a/pkg/mirror/table.go
+++ b/pkg/mirror/table.go
@@ -35,7 +35,7 @@
 	end     uint64
 	// equivalent reports whether two values of a key have the same meaning. If it is
 	// nil, all changes are significant.
-	equivalent func(old, new []byte) bool
+	equivalent func(key string, old, new []byte) bool
 	// significant is the offset of the last significant change of each key.
 	significant map[string]uint64
 	// significantEnd is the offset after the last significant change.
@@ -50,7 +50,7 @@
 
 // NewTable returns an empty table. equivalent reports whether two values of a key have
 // the same meaning, so that the newer one need not be passed on to peers. It may be nil.
-func NewTable(equivalent func(old, new []byte) bool) *Table {
+func NewTable(equivalent func(key string, old, new []byte) bool) *Table {
 	return &Table{
 		records: map[string]Record{}, removed: map[string]time.Time{}, equivalent: equivalent, significant: map[string]uint64{},
 	}
@@ -126,7 +126,7 @@
 		return false
 	}
 	t.records[r.Key] = r
-	if known && !old.Removed() && !r.Removed() && t.equivalent != nil && t.equivalent(old.Value, r.Value) {
+	if known && !old.Removed() && !r.Removed() && t.equivalent != nil && t.equivalent(r.Key, old.Value, r.Value) {
 		return false
 	}
 	t.significant[r.Key] = r.Offset
