Count no crash for a request that could not be sent

A stream placed on a server whose address makes no URL counted as a crash of that server. After three, the request, and every other with the same content, got 502 on all hosts: the digest is passed on to the peers.

Cause: the error of building the request had no cause of its own, and brokenConnection takes an unknown error for a broken connection.

Evidence, on the code before:

--- FAIL: TestServerWithAnImpossibleAddressIsNoCrash (0.00s) Should be empty, but was map[3hoe9t0fymqyu:3]

The error is now errConnect, as for an address that cannot be dialled: nothing was sent, the server is avoided, and the retry is free.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -241,7 +241,7 @@
 	}
 	req, err := http.NewRequest(c.r.Method, "http://"+b.Address, nil)
 	if err != nil {
-		return nil, eris.Wrap(err, "build the request to a backend server")
+		return nil, eris.Wrap(errConnect, err.Error())
 	}
 	req.URL.Opaque = c.r.RequestURI
 	req.Host = c.r.Host
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -424,3 +424,12 @@
 	assert.Equal(t, 200, r.status)
 	assert.True(t, r.closes)
 }
+
+func TestServerWithAnImpossibleAddressIsNoCrash(t *testing.T) {
+	odd := placement.Backend{ID: "odd", Service: "model", Address: "not an address", Slots: 4, Stage: placement.StageDecode, Engine: &placement.EngineTraits{CacheTokens: 1000}}
+	b := newTestbed(t, nil, odd)
+	for range 3 {
+		assert.Equal(t, 503, b.do(t, "POST", "/say/", "x", nil).status)
+	}
+	assert.Empty(t, b.gateway.Suspects())
+}
