Pass on an unusable registration once

Where another writer rewrites an odd entry among those of the backend servers, each host logged a warning and each peer pulled the record, of up to 256 KiB, with every rewrite.

Cause: two values that cannot be used counted as different, so that every heartbeat of such an entry was a significant change of the copy.

Evidence, on the code before:

--- FAIL: TestUnusableEntryThatReplacesAnotherIsNotPassedOn (0.00s) registry_test.go:122: Should be true

Both name no server, so that they are equivalent. The first is still counted, logged and passed on, and a usable entry that follows is a change.

--- a/pkg/edgehost/configuration.go
+++ b/pkg/edgehost/configuration.go
@@ -55,11 +55,14 @@
 }
 
 // sameRegistration reports whether two registrations of a backend server are equal apart
-// from their heartbeats.
+// from their heartbeats. Two unusable ones are equal, since both name no server.
 func (h *Host) sameRegistration(id string, old, new []byte) bool {
 	a, errA := h.platform.Backend(id, old)
 	b, errB := h.platform.Backend(id, new)
-	return errA == nil && errB == nil && a == b
+	if errA != nil || errB != nil {
+		return errA != nil && errB != nil
+	}
+	return a == b
 }
 
 // maxPeerTableAge is the age at which a table that peers keep up to date counts as stale,
--- a/pkg/edgehost/registry_test.go
+++ b/pkg/edgehost/registry_test.go
@@ -116,3 +116,19 @@
 	assert.False(t, b.fleet.Usable("x"))
 	assert.True(t, b.fleet.Usable("y"))
 }
+
+func TestUnusableEntryThatReplacesAnotherIsNotPassedOn(t *testing.T) {
+	h := &Host{platform: jsonPlatform{}}
+	assert.True(t, h.sameRegistration("x", []byte("{torn"), []byte("{torn again")))
+	assert.False(t, h.sameRegistration("x", []byte("{torn"), []byte(`{"Service":"s"}`)))
+	assert.False(t, h.sameRegistration("x", []byte(`{"Service":"s"}`), []byte("{torn")))
+	assert.True(t, h.sameRegistration("x", []byte(`{"Service":"s","Seq":1}`), []byte(`{"Service":"s","Seq":2}`)))
+}
+
+func TestUsableEntryReturnsItsServerAfterAnUnusableOne(t *testing.T) {
+	b := newRegistryFixture()
+	b.put("x", 1, false, 0)
+	b.record("x", []byte("{torn"), time.Second)
+	b.put("x", 1, false, 2*time.Second)
+	assert.True(t, b.fleet.Usable("x"))
+}
