Refuse late requests that a stop would cut, and answer the others

Callers of a host in a planned stop saw connections end without an answer: requests that came late in the grace period were passed on, and cut at its end, among them payments. So were requests that were sent before or early in the stop and still ran at its end.

Cause: the gateway did not know when the stop would end. It admitted every request that came on an open connection (kept since before the stop, accepted late, or sent slowly), gave backend servers the whole deadline of the caller, and wrote its final response only after callers.Server had closed the connections by force.

Gateway.Stop now gets the end of the load balancer's share and the time at which requests end, 0.88 of the grace period. After the first, a request is admitted only if its own deadline is before the second, so that it ends with a response whatever happens; others get 503 with Retry-After and Connection: close before anything is sent. A body that becomes whole late is judged when it is whole. At the second, what still runs is answered: 504 if it was sent, 503 if not; a stream that has begun is broken off. The connections are closed by force later, at 0.9. Requests in the load balancer's share are served as before, with deadlines towards backend servers that end with the stop. Rejections during a stop ask to close the connection also when their request came before it.

--- a/pkg/edgehost/run.go
+++ b/pkg/edgehost/run.go
@@ -68,7 +68,11 @@
 	// loadBalancerShare is the share during which the load balancer may still send
 	// requests.
 	loadBalancerShare = 0.29
-	// finishShare is the share after which requests that are still running are aborted.
+	// answerShare is the share after which requests that are still running get a final
+	// response that says so.
+	answerShare = 0.88
+	// finishShare is the share after which connections are closed by force. It leaves
+	// time for the responses of answerShare to be sent.
 	finishShare = 0.9
 )
 
@@ -77,11 +81,11 @@
 func (h *Host) stop(server *callers.Server) {
 	started := time.Now()
 	h.stopping.Store(true)
-	h.gateway.Stop()
+	at := func(share float64) time.Time { return started.Add(time.Duration(share * float64(h.settings.Grace))) }
+	h.gateway.Stop(at(loadBalancerShare), at(answerShare))
 	h.log.Info("host stops", zap.Int64("running", h.gateway.Running()))
-	time.Sleep(time.Duration(loadBalancerShare * float64(h.settings.Grace)))
-	until := started.Add(time.Duration(finishShare * float64(h.settings.Grace)))
-	left, err := server.Stop(until)
+	time.Sleep(time.Until(at(loadBalancerShare)))
+	left, err := server.Stop(at(finishShare))
 	if err != nil {
 		h.log.Warn("stopping the server for callers failed", zap.Error(err))
 	}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -178,12 +178,15 @@
 	return &rejection{status: http.StatusBadGateway, reason: "no attempt is left: " + cause(err)}
 }
 
-// contextEnded returns the final response after the deadline has passed or the caller
-// has disconnected.
+// contextEnded returns the final response after the deadline has passed, the host has
+// come to its end or the caller has disconnected.
 func (c *call) contextEnded(ctx context.Context) *rejection {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return &rejection{status: http.StatusGatewayTimeout, reason: "the deadline has passed"}
 	}
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return c.stopped()
+	}
 	return &rejection{status: http.StatusGatewayTimeout, reason: "the caller has left"}
 }
 
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -82,9 +81,15 @@
 	if rejected := c.authorise(); rejected != nil {
 		return rejected
 	}
+	if rejected := c.rejectIfTooLate(); rejected != nil {
+		return rejected
+	}
 	if rejected := c.readBody(); rejected != nil {
 		return rejected
 	}
+	if rejected := c.rejectIfTooLate(); rejected != nil {
+		return rejected
+	}
 	if c.crashSuspect() {
 		return &rejection{status: http.StatusBadGateway, reason: "the request has crashed the backend servers that ran it"}
 	}
@@ -92,7 +97,7 @@
 		return rejected
 	}
 	c.g.retryBudgets.addRequest(c.service.Name, c.arrived)
-	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	ctx, cancel := c.runContext()
 	defer cancel()
 	var rejected *rejection
 	if c.route.Kind == catalog.Streaming {
@@ -173,6 +178,7 @@
 	if c.r.ContentLength == 0 {
 		return nil
 	}
+	defer c.stopReadingAtEnd()()
 	size := max(c.r.ContentLength, 0)
 	body := make([]byte, 0, size+1)
 	reader := io.LimitReader(c.r.Body, limit+1)
@@ -185,6 +191,9 @@
 		if err == io.EOF {
 			break
 		}
+		if err != nil && c.g.ending.Err() != nil {
+			return c.stopped()
+		}
 		if err != nil {
 			return &rejection{status: http.StatusBadRequest, reason: "the body could not be read"}
 		}
@@ -214,9 +223,6 @@
 	return &rejection{status: http.StatusTooManyRequests, retryAfter: wait, reason: "the organisation is over its quota"}
 }
 
-// remaining returns the time until the deadline.
-func (c *call) remaining() time.Duration { return time.Until(c.deadline) }
-
 // countUsage counts the request in its organisation's usage when it has started to run;
 // later calls do nothing.
 func (c *call) countUsage() {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -34,21 +35,26 @@
 	// typicalDuration has the average duration of plain calls by service.
 	typicalDuration meanDurations
 	crashes         *crashes
-	// stopping is set once responses tell callers to close their connections.
-	stopping atomic.Bool
-	running  atomic.Int64
+	// stopping is set once a graceful stop has begun.
+	stopping atomic.Pointer[stopTimes]
+	// ending ends at the end of a stop; endRequests ends it.
+	ending      context.Context
+	endRequests context.CancelCauseFunc
+	running     atomic.Int64
 }
 
 var _ http.Handler = (*Gateway)(nil)
 
 // New returns a gateway.
 func New(s Settings, d Deps) *Gateway {
-	return &Gateway{
+	g := &Gateway{
 		settings:     s,
 		deps:         d,
 		retryBudgets: newRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow),
 		crashes:      newCrashes(),
 	}
+	g.ending, g.endRequests = context.WithCancelCause(context.Background())
+	return g
 }
 
 // NewServer returns an HTTP server for callers with the limits from the settings.
@@ -61,10 +67,6 @@
 	}
 }
 
-// Stop makes each further response ask the caller to close its connection, so that
-// it uses another host.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
-
 // Running returns the number of requests in progress.
 func (g *Gateway) Running() int64 { return g.running.Load() }
 
@@ -76,9 +78,7 @@
 	g.running.Add(1)
 	defer g.running.Add(-1)
 	c := &call{g: g, w: w, r: r, arrived: time.Now()}
-	if g.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	g.askToClose(w.Header())
 	metadata, finding := g.deps.Dialect.RequestMetadata(r.Header)
 	c.metadata = metadata
 	c.log = g.deps.Log.With(zap.String("request", metadata.ID))
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -419,7 +419,7 @@
 func TestStoppingHostAsksCallersToClose(t *testing.T) {
 	s := startBackend(t, "s1", respondOK("x"))
 	b := newTestbed(t, nil, s.plain())
-	b.gateway.Stop()
+	b.gateway.Stop(time.Now().Add(2*time.Second), time.Now().Add(7*time.Second))
 	r := b.do(t, "GET", "/look/", "", nil)
 	assert.Equal(t, 200, r.status)
 	assert.True(t, r.closes)
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -107,8 +107,6 @@
 		// did not state.
 		h["Content-Type"] = nil
 	}
-	if c.g.stopping.Load() {
-		h.Set("Connection", "close")
-	}
+	c.g.askToClose(h)
 	c.headerSent = true
 }
--- a/pkg/gateway/report.go
+++ b/pkg/gateway/report.go
@@ -29,6 +29,7 @@
 	}
 	h := c.w.Header()
 	h["Content-Type"] = nil
+	c.g.askToClose(h)
 	if rejected.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(c.retryAfter(rejected.retryAfter).Seconds(), 'f', 2, 64))
 	}
