Refuse odd entries of hosts, and do not log them whole

With an odd entry of another writer among those of the hosts, each host logged a line of 200 KB each time it read the list, and took entries under another name, without an address or with an impossible one for members.

Cause: readEntries checked the JSON types alone, and the decoding error, which quotes the number that does not fit, was logged in full.

Evidence, on the code before:

--- FAIL: TestOddEntriesOfHostsAreNoMembers (7.02s) "200208" is not less than "10000" (twice)

Requests were served in that run all the same: a member that is never heard takes no part in decisions.

An entry now has to bear the name of its key, and an IP address and port; the error quotes at most 100 characters.

--- a/pkg/edgehost/members.go
+++ b/pkg/edgehost/members.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/redwingpath/redwingpath/pkg/mesh"
@@ -64,10 +66,10 @@
 	}
 	var members []mesh.Member
 	for _, r := range records {
-		var m mesh.Member
-		if err := json.Unmarshal(r.Value, &m); err != nil {
+		m, err := decodeMember(r.Key, r.Value)
+		if err != nil {
 			h.metrics.unreadableRecords.Inc()
-			h.log.Warn("a host's entry cannot be decoded", zap.String("key", r.Key), zap.Error(err))
+			h.log.Warn("a host's entry is not usable", zap.String("key", r.Key), zap.Error(err))
 			continue
 		}
 		members = append(members, m)
@@ -75,3 +77,20 @@
 	h.mesh.AddMembers(members)
 	return len(members) > 1
 }
+
+// decodeMember decodes a host's entry. It refuses entries that no host would have written.
+func decodeMember(key string, raw []byte) (mesh.Member, error) {
+	var m mesh.Member
+	if err := json.Unmarshal(raw, &m); err != nil {
+		// The error may quote a value as long as a record.
+		return m, eris.Errorf("decode a host's entry: %.100s", err.Error())
+	}
+	if m.Host == "" || m.Host != key {
+		return m, eris.New("the name is not the key")
+	}
+	address, err := netip.ParseAddrPort(m.Address)
+	if err != nil || address.Port() == 0 {
+		return m, eris.Errorf("no address of a host: %.100q", m.Address)
+	}
+	return m, nil
+}
