--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -35,9 +36,12 @@
 	typicalDuration meanDurations
 	crashes         *crashes
 	quarantine      *quarantinedParts
-	// stopping is set once responses tell callers to close their connections.
-	stopping atomic.Bool
-	running  atomic.Int64
+	// stopping is set once a graceful stop has begun.
+	stopping atomic.Pointer[stopTimes]
+	// ending ends at the end of a stop; endRequests ends it.
+	ending      context.Context
+	endRequests context.CancelCauseFunc
+	running     atomic.Int64
 }
 
 var _ http.Handler = (*Gateway)(nil)
@@ -51,6 +55,7 @@
 		crashes:      newCrashes(),
 	}
 	g.quarantine = newQuarantinedParts(g)
+	g.ending, g.endRequests = context.WithCancelCause(context.Background())
 	return g
 }
 
@@ -64,10 +69,6 @@
 	}
 }
 
-// Stop makes each further response ask the caller to close its connection, so that
-// it uses another host.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
-
 // Running returns the number of requests in progress.
 func (g *Gateway) Running() int64 { return g.running.Load() }
 
@@ -79,9 +80,7 @@
 	g.running.Add(1)
 	defer g.running.Add(-1)
 	c := &call{g: g, w: w, r: r, arrived: time.Now()}
-	if g.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	g.askToClose(w.Header())
 	metadata, finding := g.deps.Dialect.RequestMetadata(r.Header)
 	c.metadata = metadata
 	c.log = g.deps.Log.With(zap.String("request", metadata.ID))
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -419,8 +419,17 @@
 func TestStoppingHostAsksCallersToClose(t *testing.T) {
 	s := startBackend(t, "s1", respondOK("x"))
 	b := newTestbed(t, nil, s.plain())
-	b.gateway.Stop()
+	b.gateway.Stop(time.Now().Add(2*time.Second), time.Now().Add(7*time.Second))
 	r := b.do(t, "GET", "/look/", "", nil)
 	assert.Equal(t, 200, r.status)
 	assert.True(t, r.closes)
 }
+
+func TestServerWithAnImpossibleAddressIsNoCrash(t *testing.T) {
+	odd := placement.Backend{ID: "odd", Service: "model", Address: "not an address", Slots: 4, Stage: placement.StageDecode, Engine: &placement.EngineTraits{CacheTokens: 1000}}
+	b := newTestbed(t, nil, odd)
+	for range 3 {
+		assert.Equal(t, 503, b.do(t, "POST", "/say/", "x", nil).status)
+	}
+	assert.Empty(t, b.gateway.Suspects())
+}
