Judge the move of a begun stream without prefill engines

Cause: mayMoveRequest placed the request with prefill engines allowed, but a stream that has begun is prefilled at the decode engine (mayPrefill), for which the prediction is longer. The watchdog now leaves prefill engines out of the question once events have been forwarded.

Evidence: TestBegunStreamIsNotMovedForAPrefillEngine fails without the change (two runs instead of one, 2 of 2) and passes with it (4 of 4, -race).

--- a/pkg/gateway/silent_lost_test.go
+++ b/pkg/gateway/silent_lost_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
+
 	"github.com/redwingpath/redwingpath/pkg/model"
 	"github.com/redwingpath/redwingpath/pkg/placement"
 )
@@ -94,3 +96,16 @@
 		})
 	}
 }
+
+// Guards against leaving a silent engine because a stream that has begun could be read at
+// a prefill engine, which it may not use.
+func TestBegunStreamIsNotMovedForAPrefillEngine(t *testing.T) {
+	log := &workLog{}
+	sound := startBackend(t, "sound", log.pauseOnce(silencePoint{events: 2}))
+	other, prefill := startBackend(t, "other", log.serve), startBackend(t, "prefill", respondAfter(500*time.Millisecond, "handle"))
+	bed := newTestbed(t, shortStallTimeouts, sound.engine(placement.StageDecode), far(other.engine(placement.StageDecode)), prefill.engine(placement.StagePrefill))
+	r := bed.do(t, http.MethodPost, "/say/", "", map[string]string{"X-Tokens": "60000", "X-Deadline": "1800"})
+	assert.NoError(t, r.err)
+	assert.Equal(t, eventsUpTo(lastSilentEvent), r.body)
+	assert.EqualValues(t, 1, sound.runs.Load()+other.runs.Load())
+}
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -120,6 +120,8 @@
 	mu    sync.Mutex
 	timer *time.Timer
 	limit time.Duration
+	// begun is set once the attempt has made progress.
+	begun bool
 	// suspended is set while the timer is stopped; it may just have fired.
 	suspended bool
 }
@@ -142,6 +144,8 @@
 		if w.timer == nil || w.suspended {
 			return
 		}
+		// A stream that has begun is not prefilled at a prefill engine, see mayPrefill.
+		request.ExcludePrefill = request.ExcludePrefill || w.begun
 		if c.mayMoveRequest(&request) {
 			cancel(errStalled)
 			return
@@ -166,7 +170,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.timer != nil {
-		w.limit, w.suspended = limit, false
+		w.limit, w.suspended, w.begun = limit, false, true
 		w.timer.Reset(limit)
 	}
 }
