Leave a silent engine by the patience of the callers

Streams left sound engines that paused for about a second: the gap timeout was 900 ms on all routes. Moves cost a read of the prompt, and streams that moved to another silent engine ended late or were cut.

The timeout is now 0.6 of the pause that the route's callers bear before they disconnect, from 1.2 s (2 s of patience) to 2 s (3.3 s and more); the rest is for the other engine to read the prompt.

TestStreamsStayAtAPausingServerWithinTheirCallersPatience states the bounds.

--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -23,9 +23,17 @@
 	// repeatable request may be moved to another backend server. Default: 4.
 	StallTimeoutFactor float64
 	// EventGapTimeout is the time without a further event after which a resumable
-	// stream may be moved to another backend server. Unit: duration. Default: 900ms,
-	// below the shortest pause at which callers disconnect.
-	EventGapTimeout time.Duration
+	// stream may be moved to another backend server, for routes whose callers have the
+	// least patience; it grows with the patience up to MaxEventGapFactor times. Sound
+	// servers pause for about a second. Unit: duration. Default: 1.2s.
+	EventGapTimeout   time.Duration
+	MaxEventGapFactor float64
+	// MinCallerPatience, PatienceTargets and PatienceGaps state how long a pause callers
+	// bear before they disconnect: the longest of MinCallerPatience, PatienceTargets times
+	// the route's target latency and PatienceGaps times its target gap. Defaults: 2s, 4
+	// and 8, as the users' platform documents.
+	MinCallerPatience             time.Duration
+	PatienceTargets, PatienceGaps float64
 	// MaxPredictedShare is the fraction of the remaining time that the predicted time
 	// to the first event may take. Default: 0.8.
 	MaxPredictedShare float64
@@ -59,7 +67,11 @@
 		TimeoutMargin:      15 * time.Millisecond,
 		MinStallTimeout:    1500 * time.Millisecond,
 		StallTimeoutFactor: 4,
-		EventGapTimeout:    900 * time.Millisecond,
+		EventGapTimeout:    1200 * time.Millisecond,
+		MaxEventGapFactor:  5.0 / 3,
+		MinCallerPatience:  2 * time.Second,
+		PatienceTargets:    4,
+		PatienceGaps:       8,
 		MaxPredictedShare:  0.8,
 		MinRetryAfter:      100 * time.Millisecond,
 		MaxRetryAfter:      2 * time.Second,
--- a/pkg/gateway/stall_test.go
+++ b/pkg/gateway/stall_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/redwingpath/redwingpath/pkg/catalog"
 	"github.com/redwingpath/redwingpath/pkg/placement"
 )
 
@@ -142,3 +143,20 @@
 	assert.InDelta(t, float64(100*time.Millisecond), float64(u.get("s")), float64(5*time.Millisecond))
 	assert.Zero(t, u.get("t"))
 }
+
+// Guards against leaving sound servers that pause for about a second.
+func TestStreamsStayAtAPausingServerWithinTheirCallersPatience(t *testing.T) {
+	bed := newTestbed(t, nil)
+	for _, c := range []struct{ target, gap, patience time.Duration }{
+		{0, 0, 2 * time.Second},
+		{300 * time.Millisecond, 150 * time.Millisecond, 2 * time.Second},
+		{600 * time.Millisecond, 150 * time.Millisecond, 2400 * time.Millisecond},
+		{600 * time.Millisecond, 500 * time.Millisecond, 4 * time.Second},
+		{4 * time.Second, 0, 16 * time.Second},
+	} {
+		limit := (&call{g: bed.gateway, route: &catalog.Route{TargetLatency: c.target, TargetGap: c.gap}}).eventGapTimeout()
+		assert.Greater(t, limit, 1100*time.Millisecond)
+		assert.LessOrEqual(t, limit, 2*time.Second)
+		assert.LessOrEqual(t, limit, c.patience*3/5)
+	}
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -196,6 +196,16 @@
 // was read.
 var errHeldBack = errors.New("a part of the prompt is held back")
 
+// eventGapTimeout returns the time without a further event after which the stream may be
+// moved to another backend server. What is left of the caller's patience is for the other
+// server to read the prompt.
+func (c *call) eventGapTimeout() time.Duration {
+	s := c.g.settings
+	patience := max(s.PatienceTargets*c.route.TargetLatency.Seconds(), s.PatienceGaps*c.route.TargetGap.Seconds())
+	factor := min(max(patience/s.MinCallerPatience.Seconds(), 1), s.MaxEventGapFactor)
+	return time.Duration(factor * float64(s.EventGapTimeout))
+}
+
 // errForwarded means that a backend server's failure was forwarded to the caller.
 var errForwarded = errors.New("the backend server's failure was passed on")
 
@@ -231,7 +241,7 @@
 				resp.Abandon()
 				return writeErr
 			}
-			watchdog.reset(c.g.settings.EventGapTimeout)
+			watchdog.reset(c.eventGapTimeout())
 		}
 		if err == io.EOF {
 			return c.finishStream(ctx, resp, events, &plan.Run, c.events-forwardedBefore)
