Add pausing servers and crashing parts of prompts to the platform soak

The soak now holds up all data of a server for 0.5 to 1.5 s, as a sound server that falls silent does, and sends requests with a part of the prompt under which engines crash and refuse connections for a while. At its end, hosts must hold the part back if it has crashed five engines, and serve sound requests that share the other part.

The check of attempts counted runs where the users' rule counts servers: a request that returns to a silent server runs there again. It now allows two servers, as the routes do, and one run more than that.

--- a/integration/platformsoak/checks.go
+++ b/integration/platformsoak/checks.go
@@ -92,13 +92,21 @@
 	http.StatusMisdirectedRequest: true,
 }
 
+// maxServers is the number of servers at which the routes let one attempt run.
+const maxServers = 2
+
 // checkRuns compares the responses that callers got with the requests that backend
 // servers ran.
 func (r *run) checkRuns() {
 	runs := map[string]int{}
+	servers := map[string]map[string]bool{}
 	for _, b := range r.backendServers {
 		for _, run := range b.Runs() {
 			runs[run.Attempt]++
+			if servers[run.Attempt] == nil {
+				servers[run.Attempt] = map[string]bool{}
+			}
+			servers[run.Attempt][b.ID] = true
 			if run.Tenant != "org" {
 				r.addViolation("%s ran for %q", run.Attempt, run.Tenant)
 			}
@@ -113,8 +121,10 @@
 			r.addViolation("payment %s ran although its status %d promises that it did not", id, a.status)
 		case a.status == http.StatusOK && runs[id] == 0:
 			r.addViolation("%s got status 200 and never ran", id)
-		case runs[id] > 2:
-			r.addViolation("%s ran %d times, but its route allows 2", id, runs[id])
+		case len(servers[id]) > maxServers:
+			r.addViolation("%s ran at %d servers, but its route allows %d", id, len(servers[id]), maxServers)
+		case runs[id] > maxServers+1:
+			r.addViolation("%s ran %d times: once at each server and once more after a silence are allowed", id, runs[id])
 		}
 	}
 }
--- /dev/null
+++ b/integration/platformsoak/crashing.go
@@ -0,0 +1,94 @@
+package platformsoak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// crashingPart is a part of prompts under which engines crash, and soundPart another
+	// one that sound requests share with it.
+	crashingPart, soundPart = "bad", "50"
+	// crashDownTime is how long an engine is down after a crash.
+	crashDownTime = 300 * time.Millisecond
+	// crashingPromptInterval is the pause between requests with the crashing part.
+	crashingPromptInterval = 700 * time.Millisecond
+	// expectedCrashes is the number of crashes after which all hosts must hold the part,
+	// and allowedSends the number of requests that may still reach engines.
+	expectedCrashes, allowedSends = 5, 3
+)
+
+// sendCrashingPrompts sends requests with the crashing part to all hosts in turn.
+func (r *run) sendCrashingPrompts(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		r.sendPrompt(ctx, r.hosts[n%len(r.hosts)], fmt.Sprint("bad-", n), crashingPart)
+		time.Sleep(crashingPromptInterval)
+	}
+}
+
+// sendPrompt sends a request with two shared parts and returns the status, 0 without a
+// complete response.
+func (r *run) sendPrompt(ctx context.Context, p *process, id, part string) int {
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.callers+"/say/"+id, strings.NewReader(id))
+	if err != nil {
+		return 0
+	}
+	r.mu.Lock()
+	key := r.keys[0]
+	r.mu.Unlock()
+	req.Host = "h"
+	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Authorization", "Token "+key)
+	req.Header.Set("Deadline-Ms", "2000")
+	req.Header.Set("Token-Counts", "300,3")
+	req.Header.Set("Prefix-Hash", fmt.Sprintf("%s:100,%s:100,%x:100", soundPart, part, len(id)+1000))
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// crashes returns the number of requests with the crashing part that reached engines.
+func (r *run) crashes() int {
+	n := 0
+	for _, b := range r.backendServers {
+		for _, run := range b.Runs() {
+			if slices.Contains(run.Parts, crashingPart) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// checkHeldPart checks that all hosts hold back the crashing part after enough crashes, and
+// serve the sound requests that share the other parts.
+func (r *run) checkHeldPart() {
+	before := r.crashes()
+	ctx := context.Background()
+	for i := range 4 * len(r.hosts) {
+		r.sendPrompt(ctx, r.hosts[i%len(r.hosts)], fmt.Sprint("late-", i), crashingPart)
+	}
+	if late := r.crashes() - before; before >= expectedCrashes && late > allowedSends {
+		r.addViolation("%d requests with the crashing part reached engines after %d had", late, before)
+	}
+	time.Sleep(2 * crashDownTime)
+	served := 0
+	const sound = 10
+	for i := range sound {
+		if r.sendPrompt(ctx, r.hosts[i%len(r.hosts)], fmt.Sprint("sound-", i), "51") == http.StatusOK {
+			served++
+		}
+	}
+	if served < sound-1 {
+		r.addViolation("%d of %d sound requests beside the crashing part were served", served, sound)
+	}
+}
--- a/integration/platformsoak/faults.go
+++ b/integration/platformsoak/faults.go
@@ -44,7 +44,7 @@
 	r.mu.Lock()
 	p.settledAt = time.Now().Add(settleTime)
 	r.mu.Unlock()
-	switch r.random.IntN(14) {
+	switch r.random.IntN(15) {
 	case 0:
 		r.restart(p, syscall.SIGKILL)
 	case 1:
@@ -86,6 +86,8 @@
 		b := r.backendServer()
 		b.SetResponseFault(platformtest.ResponseFault(1 + r.random.IntN(int(platformtest.ResponseFaults)-1)))
 		r.afterDelay(r.randomDuration(500*time.Millisecond, 2*time.Second), func() { b.SetResponseFault(platformtest.ResponseFaultNone) })
+	case 14:
+		r.backendServer().proxy.pause(r.randomDuration(500*time.Millisecond, 1500*time.Millisecond))
 	}
 }
 
--- a/integration/platformsoak/proxy.go
+++ b/integration/platformsoak/proxy.go
@@ -8,12 +8,14 @@
 
 // proxy forwards TCP connections to a target and injects network faults.
 type proxy struct {
-	listener net.Listener
-	target   string
+	target string
 
-	mu    sync.Mutex
-	delay time.Duration
-	conns map[*proxyConn]struct{}
+	mu       sync.Mutex
+	listener net.Listener
+	delay    time.Duration
+	// pausedUntil is when a pause of all connections ends.
+	pausedUntil time.Time
+	conns       map[*proxyConn]struct{}
 }
 
 // proxyConn is one proxied connection.
@@ -30,15 +32,19 @@
 		return nil, err
 	}
 	p := &proxy{listener: listener, target: target, conns: map[*proxyConn]struct{}{}}
-	go p.accept()
+	go p.accept(listener)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listener.Addr().String()
+}
 
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -75,7 +81,7 @@
 			return
 		}
 		p.mu.Lock()
-		delay := p.delay
+		delay := max(p.delay, time.Until(p.pausedUntil))
 		p.mu.Unlock()
 		time.Sleep(delay)
 		c.mu.Lock()
@@ -106,6 +112,31 @@
 	}
 }
 
+// pause holds up all data for a while, as a sound server that falls silent does.
+func (p *proxy) pause(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pausedUntil = time.Now().Add(d)
+}
+
+// crash refuses new connections for a while.
+func (p *proxy) crash(downTime time.Duration) {
+	address := p.address()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close()
+	time.AfterFunc(downTime, func() {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		p.listener = listener
+		p.mu.Unlock()
+		go p.accept(listener)
+	})
+}
+
 // silence makes the open connections drop all data from now on; new ones work.
 func (p *proxy) silence() {
 	p.forEachConn(func(c *proxyConn) {
--- a/integration/platformsoak/soak.go
+++ b/integration/platformsoak/soak.go
@@ -103,9 +103,11 @@
 	for i := range 4 * c.Hosts {
 		callers.Go(func() { r.sendRequests(load, i) })
 	}
+	callers.Go(func() { r.sendCrashingPrompts(load) })
 	r.injectFaults(ctx)
 	r.clearFaults()
 	r.checkSettled()
+	r.checkHeldPart()
 	stopLoad()
 	callers.Wait()
 	r.checkRuns()
@@ -172,6 +174,8 @@
 	if err != nil {
 		return err
 	}
+	server.SetOnCrash(func() { p.crash(crashDownTime) })
+	server.SetCrashingParts(crashDownTime, crashingPart)
 	b := &backendServer{server, p}
 	r.backendServers = append(r.backendServers, b)
 	r.register(b, "ready")
