Reserve the retry for the way back apart from those that were made

With moves away from silent servers, more retries could reach a service than its budget allows (found in review; callers see nothing, the servers do).

Cause: the retry for the way back was kept as a retry made at the time of the move. Ending it took off the newest retry, which another request may have made; a return later than the window was counted in no window.

A reservation is now a count that does not expire. A return turns it into a retry made now, the end of the request releases it, and the budget allows only what retries and reservations leave.

--- a/pkg/gateway/budget.go
+++ b/pkg/gateway/budget.go
@@ -20,6 +20,8 @@
 
 type retryBudget struct {
 	requests, retries []time.Time
+	// reserved counts retries that requests in progress may still make.
+	reserved int
 }
 
 func newRetryBudgets(ratio, slack float64, window time.Duration) *retryBudgets {
@@ -66,28 +68,42 @@
 // takeRetry takes one retry from the budget of a service and reports whether the budget
 // allows it.
 func (b *retryBudgets) takeRetry(name model.PoolName, now time.Time) bool {
-	return b.takeRetries(name, 1, now)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.get(name, now).take(b.ratio, b.slack, 0, now)
 }
 
-// takeRetries takes a number of retries, or none if the budget does not allow all of them.
-func (b *retryBudgets) takeRetries(name model.PoolName, n int, now time.Time) bool {
+// takeRetryAndReserve takes one retry and reserves another, or does nothing if the budget
+// does not allow both. A reservation does not expire; it ends with useReservation or
+// releaseReservation.
+func (b *retryBudgets) takeRetryAndReserve(name model.PoolName, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	serviceBudget := b.get(name, now)
-	if float64(len(serviceBudget.retries)+n) > b.ratio*float64(len(serviceBudget.requests))+b.slack {
+	return b.get(name, now).take(b.ratio, b.slack, 1, now)
+}
+
+// take takes one retry and reserves a number of others if the budget allows all of them.
+func (s *retryBudget) take(ratio, slack float64, reserve int, now time.Time) bool {
+	if float64(len(s.retries)+s.reserved+1+reserve) > ratio*float64(len(s.requests))+slack {
 		return false
 	}
-	for range n {
-		serviceBudget.retries = append(serviceBudget.retries, now)
-	}
+	s.retries = append(s.retries, now)
+	s.reserved += reserve
 	return true
 }
 
-// returnRetry returns a retry that was taken and not made.
-func (b *retryBudgets) returnRetry(name model.PoolName) {
+// useReservation turns a reservation into a retry that is made now.
+func (b *retryBudgets) useReservation(name model.PoolName, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s := b.byService[name]; s != nil && len(s.retries) > 0 {
-		s.retries = s.retries[:len(s.retries)-1]
-	}
+	serviceBudget := b.get(name, now)
+	serviceBudget.reserved--
+	serviceBudget.retries = append(serviceBudget.retries, now)
+}
+
+// releaseReservation ends a reservation that is not needed.
+func (b *retryBudgets) releaseReservation(name model.PoolName) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.get(name, time.Now()).reserved--
 }
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -69,7 +70,10 @@
 	// lastSentAt is when the latest attempt was made.
 	lastSentAt time.Time
 	// leftServers are the servers that were left because they were silent, the latest last.
-	leftServers []model.BackendID
+	leftServers []leftServer
+	// reserved is set by the watchdog of an attempt that has reserved a retry, until the
+	// attempt has ended.
+	reserved atomic.Bool
 	// returns counts the returns to such servers.
 	returns int
 	// prefillCalls counts the calls to prefill engines.
@@ -116,7 +120,7 @@
 		return rejected
 	}
 	c.g.retryBudgets.addRequest(c.service.Name, c.arrived)
-	defer c.refundReturns()
+	defer c.releaseReservations()
 	ctx, cancel := c.runContext()
 	defer cancel()
 	var rejected *rejection
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -58,7 +58,7 @@
 
 // mayMoveRequest reports whether a request may be moved away from a server that makes
 // no progress: another one is expected to serve it in time, and the retry budget allows
-// two retries, which it takes. The second one is for the way back if the other server
+// two retries. It takes one and reserves the other for the way back, if the other server
 // does not serve the request.
 func (c *call) mayMoveRequest(request *placement.Request) bool {
 	now := time.Now()
@@ -66,20 +66,27 @@
 	if !ok || plan.Predicted > time.Duration(c.g.settings.MaxPredictedShare*float64(c.remaining())) {
 		return false
 	}
-	return c.g.retryBudgets.takeRetries(c.service.Name, retriesPerMove, now)
+	if !c.g.retryBudgets.takeRetryAndReserve(c.service.Name, now) {
+		return false
+	}
+	c.reserved.Store(true)
+	return true
 }
 
-const (
-	// retriesPerMove is the number of retries that a move away from a silent server takes.
-	retriesPerMove = 2
-	// maxReturns bounds the returns of a request to silent servers.
-	maxReturns = 3
-)
+// maxReturns bounds the returns of a request to silent servers.
+const maxReturns = 3
+
+// leftServer is a server that was left because it was silent.
+type leftServer struct {
+	id model.BackendID
+	// reserved is set if a retry is reserved for the way back.
+	reserved bool
+}
 
-// leaveServer records that the request has left a silent server, with a retry taken for
-// the way back.
+// leaveServer records that the request has left a silent server. After a return that
+// found no connection, the retry for the way back is already counted.
 func (c *call) leaveServer(id model.BackendID) {
-	c.leftServers = append(c.leftServers, id)
+	c.leftServers = append(c.leftServers, leftServer{id, c.reserved.Swap(false)})
 }
 
 // returnToSilentServer prepares another attempt at the server that the request has left
@@ -87,12 +94,18 @@
 // there is no such server. It is called when no other server serves the request.
 func (c *call) returnToSilentServer(ctx context.Context) bool {
 	for ctx.Err() == nil && len(c.leftServers) > 0 && c.returns < maxReturns {
-		id := c.leftServers[len(c.leftServers)-1]
+		left := c.leftServers[len(c.leftServers)-1]
+		id := left.id
 		c.leftServers = c.leftServers[:len(c.leftServers)-1]
 		if !c.g.deps.Fleet.Usable(id) || !c.outcome.Retry(c.route.Repeatable()) {
-			c.g.retryBudgets.returnRetry(c.service.Name)
+			if left.reserved {
+				c.g.retryBudgets.releaseReservation(c.service.Name)
+			}
 			continue
 		}
+		if left.reserved {
+			c.g.retryBudgets.useReservation(c.service.Name, time.Now())
+		}
 		c.returns++
 		c.placementRequest.Only = id
 		c.placementRequest.Exclude = slices.DeleteFunc(c.placementRequest.Exclude, func(o model.BackendID) bool { return o == id })
@@ -105,10 +118,15 @@
 // returning reports whether the request is to return to a server that was silent.
 func (c *call) returning() bool { return c.placementRequest.Only != "" }
 
-// refundReturns returns the retries taken for returns that were not needed.
-func (c *call) refundReturns() {
-	for range c.leftServers {
-		c.g.retryBudgets.returnRetry(c.service.Name)
+// releaseReservations ends the reservations for returns that were not needed.
+func (c *call) releaseReservations() {
+	if c.reserved.Swap(false) {
+		c.g.retryBudgets.releaseReservation(c.service.Name)
+	}
+	for _, left := range c.leftServers {
+		if left.reserved {
+			c.g.retryBudgets.releaseReservation(c.service.Name)
+		}
 	}
 	c.leftServers = nil
 }
