Keep a stream at a silent server that is leaving

A stream on a leaving server that fell silent was cancelled there and cut if no other server served it (found in review): a leaving server completes what it runs, but accepts no request, so that there was no way back.

Such a server, or one that is about to change its stage, is no longer left for its silence. One whose registration is gone still is.

--- a/pkg/gateway/silent_lost_test.go
+++ b/pkg/gateway/silent_lost_test.go
@@ -109,3 +109,20 @@
 	assert.Equal(t, eventsUpTo(lastSilentEvent), r.body)
 	assert.EqualValues(t, 1, sound.runs.Load()+other.runs.Load())
 }
+
+// Guards against leaving a server to which the request could not return.
+func TestStreamOfALeavingServerStaysThere(t *testing.T) {
+	log := &workLog{}
+	var bed *testbed
+	sound := startBackend(t, "sound", func(b *backendServer, conn net.Conn, r *http.Request) {
+		leaving := decodeEngine(b)
+		leaving.Leaving = true
+		bed.fleet.Update(leaving)
+		log.pauseOnce(silencePoint{events: 2})(b, conn, r)
+	})
+	bed = others{handlers: []requestHandler{refuse}}.bed(t, "/say/", decodeEngine(sound), decodeEngine)
+	r := bed.do(t, http.MethodPost, "/say/", "", map[string]string{"X-Tokens": "10", "X-Deadline": "1800"})
+	assert.NoError(t, r.err)
+	assert.Equal(t, eventsUpTo(lastSilentEvent), r.body)
+	assert.EqualValues(t, 1, sound.runs.Load())
+}
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -60,8 +60,12 @@
 // no progress: another one is expected to serve it in time, and the retry budget allows
 // two retries. It takes one and reserves the other for the way back, if the other server
 // does not serve the request.
-func (c *call) mayMoveRequest(request *placement.Request) bool {
+func (c *call) mayMoveRequest(server model.BackendID, request *placement.Request) bool {
 	now := time.Now()
+	if c.g.deps.Fleet.Leaves(server) {
+		// It completes what it runs, but the request could not return to it.
+		return false
+	}
 	plan, ok := c.g.deps.Fleet.Place(request, now)
 	if !ok || plan.Predicted > time.Duration(c.g.settings.MaxPredictedShare*float64(c.remaining())) {
 		return false
@@ -97,7 +101,7 @@
 		left := c.leftServers[len(c.leftServers)-1]
 		id := left.id
 		c.leftServers = c.leftServers[:len(c.leftServers)-1]
-		if !c.g.deps.Fleet.Usable(id) || !c.outcome.Retry(c.route.Repeatable()) {
+		if !c.g.deps.Fleet.Accepts(id) || !c.outcome.Retry(c.route.Repeatable()) {
 			if left.reserved {
 				c.g.retryBudgets.releaseReservation(c.service.Name)
 			}
@@ -164,7 +168,7 @@
 		}
 		// A stream that has begun is not prefilled at a prefill engine, see mayPrefill.
 		request.ExcludePrefill = request.ExcludePrefill || w.begun
-		if c.mayMoveRequest(&request) {
+		if c.mayMoveRequest(server, &request) {
 			cancel(errStalled)
 			return
 		}
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -370,6 +370,22 @@
 	return !s.Leaving && !s.switching && !slices.Contains(r.Exclude, s.ID) && (r.Only == "" || r.Only == s.ID)
 }
 
+// Accepts reports whether a server is known and accepts new requests.
+func (f *Fleet) Accepts(id model.BackendID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.servers[id]
+	return s != nil && s.accepts(&Request{})
+}
+
+// Leaves reports whether a server is known and accepts no new requests.
+func (f *Fleet) Leaves(id model.BackendID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.servers[id]
+	return s != nil && !s.accepts(&Request{})
+}
+
 // Usable reports whether a server is known and not leaving.
 func (f *Fleet) Usable(id model.BackendID) bool {
 	f.mu.Lock()
