Keep a running stream at its engine while its part is held

A stream that was running when a part of its prompt became held, and whose engine then fell silent, was cancelled and cut (found in review): no engine may be sent the request again, so that there was neither a move nor a way back.

Evidence: TestStreamWithAPartThatIsHeldMeanwhileStaysAtItsEngine failed 2 of 2 before and passes 2 of 2.

--- a/pkg/gateway/quarantine_test.go
+++ b/pkg/gateway/quarantine_test.go
@@ -113,3 +113,17 @@
 	time.Sleep(100 * time.Millisecond)
 	assert.Empty(t, bed.gateway.QuarantineState().Suspects)
 }
+
+// Guards against leaving a silent engine for a request that no engine may be sent.
+func TestStreamWithAPartThatIsHeldMeanwhileStaysAtItsEngine(t *testing.T) {
+	log := &workLog{}
+	var bed *testbed
+	sound := startBackend(t, "sound", func(b *backendServer, conn net.Conn, r *http.Request) {
+		bed.holdPart(1)
+		log.pauseOnce(silencePoint{events: 2})(b, conn, r)
+	})
+	bed = others{handlers: []requestHandler{log.serve}}.bed(t, "/say/", decodeEngine(sound), decodeEngine)
+	r := bed.do(t, http.MethodPost, "/say/", "", map[string]string{"X-Tokens": "10", "X-Deadline": "1800"})
+	assert.NoError(t, r.err)
+	assert.Equal(t, eventsUpTo(lastSilentEvent), r.body)
+}
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -62,6 +62,10 @@
 // does not serve the request.
 func (c *call) mayMoveRequest(server model.BackendID, request *placement.Request) bool {
 	now := time.Now()
+	if c.g.quarantine.holding(c.shared) != nil {
+		// No server may be sent the request.
+		return false
+	}
 	if c.g.deps.Fleet.Leaves(server) {
 		// It completes what it runs, but the request could not return to it.
 		return false
