Take a silence inside a failure's body for a silence

A server that paused inside the body of a failure had its request answered with 502 instead of the failure, and a crash counted for it (found in review).

Cause: an error of reading that body was called a broken connection even if the watchdog had cancelled the attempt, so that there was no return to the server.

--- a/pkg/gateway/silent_lost_test.go
+++ b/pkg/gateway/silent_lost_test.go
@@ -126,3 +126,20 @@
 	assert.Equal(t, eventsUpTo(lastSilentEvent), r.body)
 	assert.EqualValues(t, 1, sound.runs.Load())
 }
+
+// Guards against taking a silence inside a failure's body for a crash.
+func TestSilenceInsideAFailureIsNoCrash(t *testing.T) {
+	var bed *testbed
+	refusing := startBackend(t, "b", refuse)
+	failing := startBackend(t, "a", func(_ *backendServer, conn net.Conn, r *http.Request) {
+		bed.fleet.Update(decodeEngine(refusing))
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 500 X\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: 5\r\n\r\nab", r.Header.Get("X-Id"))
+		time.Sleep(silence)
+		_, _ = fmt.Fprint(conn, "cde")
+	})
+	bed = newTestbed(t, shortStallTimeouts, decodeEngine(failing))
+	r := bed.do(t, http.MethodPost, "/say/", "", map[string]string{"X-Tokens": "10", "X-Deadline": "1800"})
+	assert.Equal(t, http.StatusInternalServerError, r.status)
+	assert.Equal(t, "abcde", r.body)
+	assert.Empty(t, bed.gateway.Suspects())
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -218,7 +218,7 @@
 		return attemptError(ctx, err)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return c.handleErrorResponse(resp)
+		return c.handleErrorResponse(ctx, resp)
 	}
 	events := newEventReader(resp.Body, c.g.settings.EventBytes)
 	forwardedBefore := c.events
@@ -300,11 +300,11 @@
 // handleErrorResponse handles a failure that a backend server responded with. It returns
 // errServerFailure if the request may be retried or a response to the caller was started,
 // and otherwise forwards the failure and returns errForwarded.
-func (c *call) handleErrorResponse(resp *upstream.Response) error {
+func (c *call) handleErrorResponse(ctx context.Context, resp *upstream.Response) error {
 	body, err := resp.ReadAll(c.g.settings.ResponseBytes)
 	if err != nil {
 		resp.Abandon()
-		return eris.Wrap(errInterrupted, err.Error())
+		return attemptError(ctx, eris.Wrap(errInterrupted, err.Error()))
 	}
 	resp.Release()
 	c.countUsage()
