Renew the write deadline for the end of a stream

A stream whose end came more than 5 s after the begin of the last write to the caller was cut after its last event (found in review): the write deadline of that write still held when net/http wrote the last chunk.

--- a/pkg/gateway/silent_lost_test.go
+++ b/pkg/gateway/silent_lost_test.go
@@ -143,3 +143,17 @@
 	assert.Equal(t, "abcde", r.body)
 	assert.Empty(t, bed.gateway.Suspects())
 }
+
+// Guards against an end of a stream that is lost because it comes late after the last event.
+func TestEndLongAfterTheLastEventReachesTheCaller(t *testing.T) {
+	engine := startBackend(t, "a", func(_ *backendServer, conn net.Conn, r *http.Request) {
+		event := eventText(1)
+		_, _ = fmt.Fprintf(conn, signedHead+"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", r.Header.Get("X-Id"), len(event), event)
+		time.Sleep(silence)
+		_, _ = fmt.Fprint(conn, "0\r\n\r\n")
+	})
+	bed := newTestbed(t, func(s *Settings) { s.WriteTimeout = silence / 2 }, decodeEngine(engine))
+	r := bed.do(t, http.MethodPost, "/say/", "", nil)
+	assert.NoError(t, r.err)
+	assert.Equal(t, eventsUpTo(1), r.body)
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -267,6 +267,8 @@
 	}
 	resp.Release()
 	c.startStream(resp)
+	// net/http writes the end of the response after the handler has returned.
+	c.extendWriteDeadline()
 	return nil
 }
 
@@ -315,6 +317,13 @@
 	return errForwarded
 }
 
+// extendWriteDeadline gives the caller WriteTimeout for what is written next.
+func (c *call) extendWriteDeadline() {
+	if err := http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(c.g.settings.WriteTimeout)); err != nil {
+		c.log.Debug("cannot set the write deadline of the caller's connection", zap.Error(err))
+	}
+}
+
 // forwardEvents writes complete events to the caller, except those that the caller
 // already has.
 func (c *call) forwardEvents(resp *upstream.Response, batch []event) error {
@@ -327,11 +336,8 @@
 		if c.firstByteAt.IsZero() {
 			c.firstByteAt = time.Now()
 		}
-		controller := http.NewResponseController(c.w)
 		if !wrote {
-			if err := controller.SetWriteDeadline(time.Now().Add(c.g.settings.WriteTimeout)); err != nil {
-				c.log.Debug("cannot set the write deadline of the caller's connection", zap.Error(err))
-			}
+			c.extendWriteDeadline()
 		}
 		if _, err := c.w.Write(e.raw); err != nil {
 			return eris.Wrap(errCallerGone, err.Error())
