--- a/integration/platformsoak/crashing.go
+++ b/integration/platformsoak/crashing.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/redwingpath/redwingpath/platform/platformtest"
 )
 
 const (
@@ -46,8 +48,7 @@
 	req.Header.Set("Attempt-Id", id)
 	req.Header.Set("Authorization", "Token "+key)
 	req.Header.Set("Deadline-Ms", "2000")
-	req.Header.Set("Token-Counts", "300,3")
-	req.Header.Set("Prefix-Hash", fmt.Sprintf("%s:100,%s:100,%x:100", soundPart, part, len(id)+1000))
+	platformtest.SetPrompt(req.Header, soundPart, part, fmt.Sprintf("%x", len(id)+1000))
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		return 0
