Stop the duties by the holder's own clock before another host claims them

Cause: the others replaced a silent holder after 4.1 s, but the holder itself had no time after which it stopped, and its calls were made with the token alone.

Change: the holder acts under a lease of 2.1 s from the sending of its last record in the log. Others claim once the log has been unchanged for 2.4 s, counted from after the read that found its end. All calls of the duties carry their term, which is checked right before the bytes are written, and are reset when it ends. A former holder gets no figures to report. Appends that succeed are applied without a read.

TestClaimWhoseResponseWasLostIsFoundInTheLog now counts claims instead of all records, since the holder renews its lease.

--- a/pkg/duty/duty.go
+++ b/pkg/duty/duty.go
@@ -4,6 +4,11 @@
 // single outcome, such as the figures of a usage report, is written to the same log before
 // it is done. Each append names the end of the log that its writer has read, so a host that
 // has lost the duties cannot write.
+//
+// Calls outside the log are covered by a lease. Each record of the holder renews it, counted
+// from when the append was sent. Another host claims the duties only after the log has not
+// grown for longer than a lease, so that a holder which cannot write stops by its own clock
+// before it is replaced.
 package duty
 
 import (
@@ -50,8 +55,7 @@
 const (
 	// KindClaim claims the duties.
 	KindClaim Kind = "claim"
-	// KindAlive is the heartbeat of a holder that hears from only a few peers, which may
-	// not hear from it either.
+	// KindAlive renews the lease of a holder that has nothing else to write.
 	KindAlive Kind = "alive"
 	// KindCounts stores the counts of usage windows that have not been reported, in case
 	// all hosts are lost.
@@ -82,24 +86,30 @@
 
 func usageKey(window int64) string { return string(KindUsage) + "/" + strconv.FormatInt(window, 10) }
 
-// Timing of claims. A dead holder is replaced within 5 s, half of the time in which a usage
-// report is due.
+// Timing of claims. A dead holder is replaced within 5.5 s, well before the report of the
+// window in which it died is overdue.
 const (
 	// holderTimeout is how long the holder must have been silent before another host
-	// claims.
+	// considers a claim.
 	holderTimeout = 2500 * time.Millisecond
-	// logQuietTime is how long the log must stay unchanged in addition. It is longer than
-	// aliveInterval, and together with holderTimeout longer than the platform's lease.
-	logQuietTime = 1600 * time.Millisecond
+	// logQuietTime is how long the log must stay unchanged in addition.
+	logQuietTime = 2400 * time.Millisecond
+	// leaseMargin covers the way of a call to the platform and differences between the
+	// rates of the hosts' clocks.
+	leaseMargin = 300 * time.Millisecond
+	// leaseTime is how long the holder may act after it has sent a record.
+	leaseTime = logQuietTime - leaseMargin
+	// renewInterval is the age of the lease at which the holder renews it. It leaves a
+	// second for the append and for calls of the duties.
+	renewInterval = leaseTime - time.Second
+	// renewRetryDelay is the pause between attempts to renew the lease.
+	renewRetryDelay = 400 * time.Millisecond
 	// claimStagger is added to holderTimeout for each host that claims before this one, to
-	// limit the reads of the log: it takes two seconds until others hear of a claim, and
-	// until then each host that considers claiming reads the log five times a second.
+	// limit the reads of the log: it takes two seconds until others hear of a claim.
 	claimStagger = 250 * time.Millisecond
 	// maxClaimStagger limits the total stagger, so that a report is not overdue if none of
 	// the hosts that claim first can reach the log.
 	maxClaimStagger = 3 * time.Second
-	// aliveInterval is the interval of KindAlive records.
-	aliveInterval = 800 * time.Millisecond
 	// startupDelay keeps a host that has just started from claiming, unless the duties were
 	// never held.
 	startupDelay = 6 * time.Second
@@ -117,8 +127,11 @@
 	Incarnation string
 	Log         Log
 	// Rank returns the number of hosts that claim before this one. It may be nil.
-	Rank   func() int
-	Logger *zap.Logger
+	Rank func() int
+	// Elapsed returns the time of a steady clock that includes suspension of the host, by
+	// which leases end.
+	Elapsed func() time.Duration
+	Logger  *zap.Logger
 
 	mu sync.Mutex
 	// end is the end of the log up to which it has been read.
@@ -132,13 +145,12 @@
 	deposits          []usagewindow.Deposit
 	// heardAt is when the holder was last heard of.
 	heardAt time.Time
-	// quietEnd is the end of the log, unchanged since quietSince, while a claim is being
-	// considered.
-	quietEnd      uint64
-	quietSince    time.Time
+	// quiet observes the log while a claim is being considered.
+	quiet         quietPeriod
 	startedAt     time.Time
 	noClaimBefore time.Time
-	lastAliveAt   time.Time
+	// lease is this host's lease while it holds the duties.
+	lease lease
 	// resigned is set by Resign and cleared by the next claim that is read from the log.
 	resigned bool
 }
@@ -159,17 +171,46 @@
 	return e.holder, e.fence
 }
 
-// OwnFence reports whether this process holds the duties, and its fencing token.
+// OwnFence reports whether this process may act as the holder of the duties, and its fencing
+// token.
 func (e *Elector) OwnFence() (fence uint64, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.fence, e.isHolder()
+	return e.fence, e.remaining(e.fence) > 0
+}
+
+// Term returns the present term of this process as the holder of the duties, and false if
+// it may not act.
+func (e *Elector) Term() (Term, bool) {
+	fence, ok := e.OwnFence()
+	return Term{Holder: e.Host, Fence: fence, remaining: func() time.Duration {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.remaining(fence)
+	}}, ok
+}
+
+// Claimed reports whether the latest claim that this process knows of is its own, and for
+// how long its lease has ended: it may not act then, but no other host may have claimed.
+func (e *Elector) Claimed() (fence uint64, lapsed time.Duration, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.fence, max(0, -e.lease.remaining(e.Elapsed())), e.isHolder()
 }
 
 func (e *Elector) isHolder() bool {
 	return !e.resigned && e.holder == e.Host && e.holderIncarnation == e.Incarnation
 }
 
+// remaining returns how long this process may still act under a fencing token. The caller
+// holds e.mu.
+func (e *Elector) remaining(fence uint64) time.Duration {
+	if !e.isHolder() || e.fence != fence {
+		return 0
+	}
+	return max(0, e.lease.remaining(e.Elapsed()))
+}
+
 // HandleReport records that a host announced itself as the holder of the duties.
 func (e *Elector) HandleReport(host string, fence uint64, now time.Time) {
 	e.mu.Lock()
@@ -196,9 +237,9 @@
 	e.heardAt = now
 }
 
-// Step claims the duties if no host holds them. isolated is set if the host hears from only
-// a few of its peers; if it holds the duties, Step then writes its heartbeats to the log.
-func (e *Elector) Step(ctx context.Context, isolated bool, now time.Time) error {
+// Step claims the duties if no host holds them, and renews the lease of this host if it
+// does.
+func (e *Elector) Step(ctx context.Context, now time.Time) error {
 	stagger := time.Duration(0)
 	if e.Rank != nil {
 		stagger = min(time.Duration(e.Rank())*claimStagger, maxClaimStagger)
@@ -206,39 +247,39 @@
 	e.mu.Lock()
 	isHolder := e.isHolder()
 	waiting := now.Sub(e.heardAt) < holderTimeout+stagger || now.Before(e.noClaimBefore)
-	heartbeatDue := isHolder && isolated && now.Sub(e.lastAliveAt) >= aliveInterval
+	renewalDue := isHolder && e.lease.renewalDue(e.Elapsed())
 	e.mu.Unlock()
 	switch {
-	case heartbeatDue:
-		return e.writeAlive(ctx, now)
+	case renewalDue:
+		return e.write(ctx, Record{Kind: KindAlive})
 	case isHolder || waiting:
 		return nil
 	}
 	return e.considerClaim(ctx, now)
 }
 
-func (e *Elector) writeAlive(ctx context.Context, now time.Time) error {
-	e.mu.Lock()
-	e.lastAliveAt = now
-	e.mu.Unlock()
-	return e.write(ctx, Record{Kind: KindAlive})
-}
-
 // considerClaim claims the duties once the log has not grown for logQuietTime, or at once if
 // the log is empty.
 func (e *Elector) considerClaim(ctx context.Context, now time.Time) error {
+	e.mu.Lock()
+	e.quiet.begin(now)
+	waiting := e.quiet.lasts(now) || e.claims > 0 && now.Sub(e.startedAt) < startupDelay
+	e.mu.Unlock()
+	if waiting {
+		return nil
+	}
 	if err := e.catchUp(ctx); err != nil {
 		e.mu.Lock()
-		e.quietSince = time.Time{}
+		e.quiet = quietPeriod{}
 		e.mu.Unlock()
 		return err
 	}
 	e.mu.Lock()
-	if e.quietSince.IsZero() || e.quietEnd != e.end {
-		e.quietEnd, e.quietSince = e.end, now
-	}
 	neverHeld := e.claims == 0 && e.end == 0
-	ready := now.Sub(e.quietSince) >= logQuietTime && now.Sub(e.startedAt) >= startupDelay || neverHeld
+	ready := e.quiet.ended(e.end) && now.Sub(e.startedAt) >= startupDelay || neverHeld
+	if !ready {
+		e.quiet.observe(e.end)
+	}
 	e.mu.Unlock()
 	if !ready {
 		return nil
@@ -249,17 +290,18 @@
 func (e *Elector) claim(ctx context.Context, now time.Time) error {
 	e.mu.Lock()
 	at := e.end
-	e.quietSince = time.Time{}
+	e.quiet = quietPeriod{}
 	e.mu.Unlock()
 	// Offset 0 is valid, but 0 is not a valid fencing token.
 	record := e.stamp(Record{Kind: KindClaim, Fence: at + 1})
-	err := e.appendRecord(ctx, record, at)
-	if err != nil && !errors.Is(err, ErrConflict) {
-		// The claim may be in the log. catchUp finds it there.
-		e.Logger.Info("no response to the append of a claim; reading the log to see whether it was written", zap.Error(err))
-	}
-	if err := e.catchUp(ctx); err != nil {
-		return err
+	if err := e.appendRecord(ctx, record, at); err != nil {
+		if !errors.Is(err, ErrConflict) {
+			// The claim may be in the log. catchUp finds it there.
+			e.Logger.Info("no response to the append of a claim; reading the log to see whether it was written", zap.Error(err))
+		}
+		if err := e.catchUp(ctx); err != nil {
+			return err
+		}
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -275,12 +317,23 @@
 	return r
 }
 
+// appendRecord appends a record if the log ends at the given offset, and applies it.
 func (e *Elector) appendRecord(ctx context.Context, r Record, at uint64) error {
 	raw, err := json.Marshal(r)
 	if err != nil {
 		return eris.Wrap(err, "encode a duty record")
 	}
-	return e.Log.AppendAt(ctx, r.key(), raw, at)
+	e.mu.Lock()
+	e.lease.sending(r.ID, e.Elapsed())
+	e.mu.Unlock()
+	if err := e.Log.AppendAt(ctx, r.key(), raw, at); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.applyRecord(raw, at)
+	e.end = max(e.end, at+1)
+	return nil
 }
 
 // catchUp reads the log to its end.
@@ -314,6 +367,9 @@
 		e.Logger.Warn("skipping a duty record that cannot be decoded", zap.Uint64("offset", offset), zap.Error(err))
 		return
 	}
+	if r.Host == e.Host && r.Incarnation == e.Incarnation {
+		e.lease.written(r.ID)
+	}
 	switch r.Kind {
 	case KindClaim:
 		e.claims++
@@ -353,14 +409,11 @@
 			return ErrNotHolder
 		}
 		err := e.appendRecord(ctx, r, at)
-		if err != nil && !errors.Is(err, ErrConflict) {
+		if !errors.Is(err, ErrConflict) {
 			return err
 		}
-		if readErr := e.catchUp(ctx); readErr != nil {
-			return readErr
-		}
-		if err == nil {
-			return nil
+		if err := e.catchUp(ctx); err != nil {
+			return err
 		}
 	}
 	return eris.New("too many append conflicts: the log grows faster than it can be read")
@@ -376,6 +429,10 @@
 		return nil, err
 	}
 	if r, ok := e.fixedUsage(window); ok {
+		// A record of another host may have come with a claim.
+		if _, _, claimed := e.Claimed(); !claimed {
+			return nil, ErrNotHolder
+		}
 		return r.Counts, nil
 	}
 	if err := e.write(ctx, Record{Kind: KindUsage, Window: window, Counts: counts}); err != nil {
@@ -399,7 +456,11 @@
 	e.mu.Unlock()
 	if err := e.Log.AppendAt(ctx, usageKey(window), nil, at); err != nil {
 		e.Logger.Debug("could not remove the figures of an old usage window from the log", zap.Int64("window", window), zap.Error(err))
+		return
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.end = max(e.end, at+1)
 }
 
 // Deposit stores counts of usage windows in the log.
--- a/pkg/duty/duty_test.go
+++ b/pkg/duty/duty_test.go
@@ -91,8 +91,11 @@
 
 var start = time.Unix(1000, 0)
 
+// elapsed is the clock of leases. Tests of this package do not run in parallel.
+var elapsed time.Duration
+
 func newElector(host string, log Log) *Elector {
-	e := &Elector{Host: host, Incarnation: "1", Log: log, Logger: zap.NewNop()}
+	e := &Elector{Host: host, Incarnation: "1", Log: log, Logger: zap.NewNop(), Elapsed: func() time.Duration { return elapsed }}
 	e.Start(start)
 	return e
 }
@@ -103,8 +106,9 @@
 	t.Helper()
 	for at := from; at < to; at += 200 * time.Millisecond {
 		now := start.Add(at)
+		elapsed = at
 		for _, e := range electors {
-			_ = e.Step(t.Context(), false, now)
+			_ = e.Step(t.Context(), now)
 		}
 		for _, a := range electors {
 			fence, held := a.OwnFence()
@@ -155,16 +159,13 @@
 	assert.Greater(t, fence, old)
 }
 
-func TestIsolatedHolderThatWritesHeartbeatsKeepsTheDuties(t *testing.T) {
+func TestHolderThatNobodyHearsKeepsTheDuties(t *testing.T) {
 	log := &memoryLog{}
 	a, b := newElector("a", log), newElector("b", log)
 	stepAll(t, 0, 3*time.Second, hearNone, a)
 	fence, held := a.OwnFence()
 	require.True(t, held)
-	for at := 3 * time.Second; at < 30*time.Second; at += 200 * time.Millisecond {
-		require.NoError(t, a.Step(t.Context(), true, start.Add(at)))
-		require.NoError(t, b.Step(t.Context(), true, start.Add(at)))
-	}
+	stepAll(t, 3*time.Second, 30*time.Second, hearNone, a, b)
 	_, held = b.OwnFence()
 	assert.False(t, held)
 	now, _ := a.OwnFence()
@@ -177,7 +178,13 @@
 	stepAll(t, 0, 4*time.Second, hearNone, a)
 	_, held := a.OwnFence()
 	assert.True(t, held)
-	assert.Len(t, log.records, 1)
+	claims := 0
+	for _, raw := range log.records {
+		if strings.Contains(string(raw), `"kind":"claim"`) {
+			claims++
+		}
+	}
+	assert.Equal(t, 1, claims)
 }
 
 func TestLateAppendOfAFormerHolderHasNoEffect(t *testing.T) {
--- a/pkg/edgehost/calls.go
+++ b/pkg/edgehost/calls.go
@@ -89,15 +89,15 @@
 func (c *countedPlatform) DutyLog() duty.Log { return countedLog{c.Platform.DutyLog(), c} }
 
 // ReportUsage implements Platform.
-func (c *countedPlatform) ReportUsage(ctx context.Context, holder string, fence uint64, window int64, counts map[model.OrganisationID]int64) error {
-	err := c.Platform.ReportUsage(ctx, holder, fence, window, counts)
+func (c *countedPlatform) ReportUsage(ctx context.Context, term duty.Term, window int64, counts map[model.OrganisationID]int64) error {
+	err := c.Platform.ReportUsage(ctx, term, window, counts)
 	c.count("report usage", err)
 	return err
 }
 
 // Scale implements Platform.
-func (c *countedPlatform) Scale(ctx context.Context, holder string, fence uint64, o ScaleOrder) error {
-	err := c.Platform.Scale(ctx, holder, fence, o)
+func (c *countedPlatform) Scale(ctx context.Context, term duty.Term, o ScaleOrder) error {
+	err := c.Platform.Scale(ctx, term, o)
 	c.count("scale", err)
 	return err
 }
--- a/pkg/edgehost/duties.go
+++ b/pkg/edgehost/duties.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/redwingpath/redwingpath/pkg/duty"
 	"github.com/redwingpath/redwingpath/pkg/truetime"
 )
 
@@ -64,43 +65,69 @@
 	h.observeDemand(now)
 	ctx, cancel := context.WithTimeout(ctx, dutyTimeout)
 	defer cancel()
-	isolated := 2*(len(h.mesh.Live())+1) <= h.mesh.MemberCount()+1
-	_, held := h.duties.OwnFence()
-	if err := h.duties.Step(ctx, isolated, now); err != nil {
+	_, _, claimed := h.duties.Claimed()
+	if err := h.duties.Step(ctx, now); err != nil {
 		h.log.Info("the log of the duties could not be reached", zap.Error(err))
 	}
-	fence, mine := h.duties.OwnFence()
-	if mine && !held {
+	_, lapsed, mine := h.duties.Claimed()
+	if mine && !claimed {
 		// Tell the peers at once, so that none of them claims the duties.
 		h.mesh.Wake()
 	}
-	h.metrics.dutyHolder.Set(boolToFloat(mine))
 	if !mine {
+		h.metrics.dutyHolder.Set(0)
 		clear(h.reportedWindows)
 		h.orderState = newOrderState()
 		return
 	}
+	term, mayAct := h.duties.Term()
+	h.noteLease(mayAct, lapsed)
+	if !mayAct {
+		return
+	}
 	if h.settings.UsageDuty {
 		h.usage.Restore(h.self.Host, h.self.Incarnation, h.duties.Deposits())
-		h.reportUsage(ctx, fence)
+		h.reportUsage(ctx, term)
 		h.depositCounts(ctx, now)
 	}
-	h.planFleet(ctx, fence, now)
+	h.planFleet(ctx, term, now)
 	list := h.switchingEngines()
 	h.switching.Store(&list)
 	h.fleet.SetSwitching(list)
 }
 
-func boolToFloat(b bool) float64 {
-	if b {
-		return 1
+// noteLease logs when the lease of the duties ends because the log cannot be written, and
+// when it is renewed.
+func (h *Host) noteLease(mayAct bool, lapsed time.Duration) {
+	if mayAct {
+		h.metrics.dutyHolder.Set(1)
+		if h.leaseLapsed {
+			h.log.Info("the lease of the duties is renewed")
+		}
+	} else {
+		h.metrics.dutyHolder.Set(0)
+		if !h.leaseLapsed {
+			h.log.Warn("the lease of the duties has ended; they rest until the log can be written", zap.Duration("since", lapsed))
+		}
+	}
+	h.leaseLapsed = !mayAct
+}
+
+// announcesDuties reports whether this host announces itself as the holder of the duties.
+// While its lease has ended, it does so only if no peer reaches the store either: such a
+// peer could claim the duties.
+func (h *Host) announcesDuties() (fence uint64, ok bool) {
+	fence, lapsed, mine := h.duties.Claimed()
+	if !mine {
+		return fence, false
 	}
-	return 0
+	leaseEnd := time.Now().Add(-lapsed)
+	return fence, lapsed == 0 || !h.tables[TopicBackends].UpToDateAt().After(leaseEnd)
 }
 
 // reportUsage reports the ended windows that are due, oldest first, until a report
 // fails.
-func (h *Host) reportUsage(ctx context.Context, fence uint64) {
+func (h *Host) reportUsage(ctx context.Context, term duty.Term) {
 	now := h.clock.Now()
 	current := h.usage.Window(now)
 	past := int64(h.settings.UsageDelay/h.settings.UsageWindow) + extraWindows
@@ -108,7 +135,7 @@
 		if h.reportedWindows[window] || !h.readyToReport(window, now) {
 			continue
 		}
-		if !h.reportWindow(ctx, window, fence) {
+		if !h.reportWindow(ctx, window, term) {
 			return
 		}
 	}
@@ -158,18 +185,18 @@
 
 // reportWindow fixes the counts of a window in the log of the duties, so that every
 // holder reports the same ones, and sends the report. It reports whether it succeeded.
-func (h *Host) reportWindow(ctx context.Context, window int64, fence uint64) bool {
+func (h *Host) reportWindow(ctx context.Context, window int64, term duty.Term) bool {
 	counts, err := h.duties.FixUsage(ctx, window, h.usage.Sum(window))
 	if err != nil {
 		h.log.Warn("the counts of a usage window could not be fixed in the log of the duties", zap.Int64("window", window), zap.Error(err))
 		h.metrics.usageReports.WithLabelValues("not_fixed").Inc()
 		return false
 	}
-	err = h.platform.ReportUsage(ctx, h.self.Host, fence, window, counts)
+	err = h.platform.ReportUsage(ctx, term, window, counts)
 	switch {
 	case err == nil:
 		h.reportedWindows[window] = true
-		h.log.Info("usage reported", zap.Int64("window", window), zap.Uint64("fence", fence), zap.Any("counts", counts))
+		h.log.Info("usage reported", zap.Int64("window", window), zap.Uint64("fence", term.Fence), zap.Any("counts", counts))
 		h.metrics.usageReports.WithLabelValues("reported").Inc()
 		return true
 	case errors.Is(err, ErrConflict):
--- a/pkg/edgehost/exchange.go
+++ b/pkg/edgehost/exchange.go
@@ -54,7 +54,7 @@
 	if full {
 		n.Speeds = h.fleet.Speeds()
 	}
-	if fence, mine := h.duties.OwnFence(); mine {
+	if fence, mine := h.announcesDuties(); mine {
 		n.Holding = mesh.Holding{Holder: h.self.Host, Fence: fence}
 		n.Switching = *h.switching.Load()
 	}
--- a/pkg/edgehost/fleet.go
+++ b/pkg/edgehost/fleet.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/redwingpath/redwingpath/pkg/catalog"
+	"github.com/redwingpath/redwingpath/pkg/duty"
 	"github.com/redwingpath/redwingpath/pkg/fleetplan"
 	"github.com/redwingpath/redwingpath/pkg/model"
 	"github.com/redwingpath/redwingpath/pkg/placement"
@@ -97,7 +98,7 @@
 }
 
 // planFleet orders backend servers and stage changes as the holder of the duties.
-func (h *Host) planFleet(ctx context.Context, fence uint64, now time.Time) {
+func (h *Host) planFleet(ctx context.Context, term duty.Term, now time.Time) {
 	c := h.catalog.Load()
 	if c == nil || now.Sub(h.orderState.plannedAt) < planInterval {
 		return
@@ -120,10 +121,10 @@
 				state.BusyEngines, state.DemandKnown = d.BusyEngines(now)
 			}
 			state.MinEngines = h.orderState.sizeController(service.Name).Next(h.policy.Needed(service.Scaling, state), countNotLeaving(engines), h.policy.TotalStep(service.Scaling), now)
-			h.scale(ctx, service, state, fence, now)
+			h.scale(ctx, service, state, term, now)
 		}
 		for _, change := range h.policy.PlanStages(engines, service.Engine.Slots, int(peak)) {
-			h.orderStage(ctx, service, change, fence, now)
+			h.orderStage(ctx, service, change, term, now)
 		}
 	}
 }
@@ -182,7 +183,7 @@
 
 // scale orders backend servers wherever the number that the policy wants differs from the
 // present or the last ordered one.
-func (h *Host) scale(ctx context.Context, service *catalog.Service, state fleetplan.State, fence uint64, now time.Time) {
+func (h *Host) scale(ctx context.Context, service *catalog.Service, state fleetplan.State, term duty.Term, now time.Time) {
 	for _, t := range h.policy.Scale(service.Scaling, state) {
 		key := scaleKey{service.Name, t.DataCentre, t.Spot}
 		have := 0
@@ -201,24 +202,26 @@
 		if known && last.refused && now.Before(last.repeatAfter) {
 			continue
 		}
-		h.orderServers(ctx, key, t.Desired, have, state.BusyEngines, fence, now)
+		h.orderServers(ctx, key, t.Desired, have, state.BusyEngines, term, now)
 	}
 }
 
 // orderServers sends an order for backend servers and records its result.
-func (h *Host) orderServers(ctx context.Context, key scaleKey, desired, have int, busy float64, fence uint64, now time.Time) {
-	err := h.platform.Scale(ctx, h.self.Host, fence, ScaleOrder{
+func (h *Host) orderServers(ctx context.Context, key scaleKey, desired, have int, busy float64, term duty.Term, now time.Time) {
+	err := h.platform.Scale(ctx, term, ScaleOrder{
 		Service: key.service, DataCentre: key.dataCentre, Desired: desired, Spot: key.spot,
 	})
 	fields := []zap.Field{
 		zap.String("service", string(key.service)), zap.String("data_centre", string(key.dataCentre)),
-		zap.Bool("spot", key.spot), zap.Int("desired", desired), zap.Int("have", have), zap.Uint64("fence", fence),
+		zap.Bool("spot", key.spot), zap.Int("desired", desired), zap.Int("have", have), zap.Uint64("fence", term.Fence),
 		zap.Float64("engines_busy", busy),
 	}
 	order := lastScaleOrder{desired: desired, repeatAfter: now.Add(scaleRepeatDelay)}
 	switch {
 	case err == nil:
 		h.log.Info("backend servers ordered", fields...)
+	case errors.Is(err, duty.ErrNotHolder):
+		return
 	case errors.Is(err, ErrConflict):
 		order.repeatAfter, order.refused = now.Add(scaleRefusedDelay), true
 		if key.spot {
@@ -234,7 +237,7 @@
 
 // orderStage orders an engine to change its stage. The order contains the engine's ID and
 // its number of accepted orders, so that a delayed order has no effect.
-func (h *Host) orderStage(ctx context.Context, service *catalog.Service, change fleetplan.StageChange, fence uint64, now time.Time) {
+func (h *Host) orderStage(ctx context.Context, service *catalog.Service, change fleetplan.StageChange, term duty.Term, now time.Time) {
 	r, ok := h.registry.registration(change.ID)
 	if !ok {
 		return
@@ -242,12 +245,12 @@
 	h.orderState.pendingStage[change.ID] = pendingStage{stage: change.Stage, until: now.Add(service.Engine.SwitchTime + switchMargin)}
 	accepted, err := h.platform.AcceptedOrders(ctx, change.ID, r.Address)
 	if err == nil {
-		err = h.platform.ChangeStage(ctx, h.self.Host, fence, StageOrder{
+		err = h.platform.ChangeStage(ctx, term, StageOrder{
 			Backend: change.ID, Address: r.Address, Stage: change.Stage, ExpectedOrders: accepted,
 		})
 	}
 	fields := []zap.Field{
-		zap.String("backend", string(change.ID)), zap.Stringer("stage", change.Stage), zap.Uint64("fence", fence),
+		zap.String("backend", string(change.ID)), zap.Stringer("stage", change.Stage), zap.Uint64("fence", term.Fence),
 		zap.Uint64("orders", accepted),
 	}
 	if err != nil {
--- a/pkg/edgehost/host.go
+++ b/pkg/edgehost/host.go
@@ -63,6 +63,8 @@
 	reportedWindows map[int64]bool
 	// lastDeposit is when counts were last written to the log of the duties.
 	lastDeposit time.Time
+	// leaseLapsed is set while this host has claimed the duties and may not act.
+	leaseLapsed bool
 	orderState  *orderState
 	// demand is the prefill demand by service. Only the goroutine of runDuties uses it.
 	demand map[model.PoolName]*fleetplan.Demand
@@ -103,7 +105,7 @@
 		wakeMesh: func() { h.mesh.Wake() },
 	}
 	h.duties = &duty.Elector{
-		Host: h.self.Host, Incarnation: h.self.Incarnation, Log: h.calls.DutyLog(), Logger: log,
+		Host: h.self.Host, Incarnation: h.self.Incarnation, Log: h.calls.DutyLog(), Logger: log, Elapsed: truetime.System().Boot,
 		Rank: func() int { return h.mesh.Rank() },
 	}
 	h.addFollower(TopicConfiguration, configurationWait, 0)
--- a/pkg/edgehost/platform.go
+++ b/pkg/edgehost/platform.go
@@ -69,13 +69,14 @@
 	// Backend decodes the registration of a backend server.
 	Backend(id string, raw []byte) (Registration, error)
 	// ReportUsage reports a usage window. It fails with ErrConflict if another
-	// host has acted with a higher fencing token.
-	ReportUsage(ctx context.Context, holder string, fence uint64, window int64, counts map[model.OrganisationID]int64) error
+	// host has acted with a higher fencing token. Like the other calls with a term, it
+	// sends nothing after the term has ended, and then fails with duty.ErrNotHolder.
+	ReportUsage(ctx context.Context, term duty.Term, window int64, counts map[model.OrganisationID]int64) error
 	// AcceptedOrders asks an engine how many orders it has accepted.
 	AcceptedOrders(ctx context.Context, backend model.BackendID, address string) (uint64, error)
 	// ChangeStage orders an engine to change its stage.
-	ChangeStage(ctx context.Context, holder string, fence uint64, o StageOrder) error
+	ChangeStage(ctx context.Context, term duty.Term, o StageOrder) error
 	// Scale orders backend servers. It fails with ErrConflict if none are available or
 	// another host has acted with a higher fencing token.
-	Scale(ctx context.Context, holder string, fence uint64, o ScaleOrder) error
+	Scale(ctx context.Context, term duty.Term, o ScaleOrder) error
 }
--- a/pkg/edgehost/registry_test.go
+++ b/pkg/edgehost/registry_test.go
@@ -25,15 +25,15 @@
 func (jsonPlatform) Read(context.Context, string, uint64, time.Duration) ([]mirror.Record, uint64, error) {
 	return nil, 0, nil
 }
-func (jsonPlatform) Put(context.Context, string, string, []byte) error             { return nil }
-func (jsonPlatform) DutyLog() duty.Log                                             { return nil }
-func (jsonPlatform) DecodeConfiguration([]byte) (catalog.Config, error)            { return catalog.Config{}, nil }
-func (jsonPlatform) ChangeStage(context.Context, string, uint64, StageOrder) error { return nil }
-func (jsonPlatform) Scale(context.Context, string, uint64, ScaleOrder) error       { return nil }
+func (jsonPlatform) Put(context.Context, string, string, []byte) error        { return nil }
+func (jsonPlatform) DutyLog() duty.Log                                        { return nil }
+func (jsonPlatform) DecodeConfiguration([]byte) (catalog.Config, error)       { return catalog.Config{}, nil }
+func (jsonPlatform) ChangeStage(context.Context, duty.Term, StageOrder) error { return nil }
+func (jsonPlatform) Scale(context.Context, duty.Term, ScaleOrder) error       { return nil }
 func (jsonPlatform) AcceptedOrders(context.Context, model.BackendID, string) (uint64, error) {
 	return 0, nil
 }
-func (jsonPlatform) ReportUsage(context.Context, string, uint64, int64, map[model.OrganisationID]int64) error {
+func (jsonPlatform) ReportUsage(context.Context, duty.Term, int64, map[model.OrganisationID]int64) error {
 	return nil
 }
 
