--- a/pkg/mesh/copies.go
+++ b/pkg/mesh/copies.go
@@ -43,10 +43,8 @@
 		if table == nil {
 			continue
 		}
-		if table.Complete() && table.SignificantEnd() >= c.End {
-			if table.SignificantEnd() == c.End {
-				table.ConfirmUpToDate(now.Add(-c.Age))
-			}
+		if table.Complete() && table.End() >= c.End {
+			table.ConfirmUpToDate(now.Add(-c.Age))
 			continue
 		}
 		if _, busy := m.pullsInProgress.LoadOrStore(topic, true); busy {
@@ -64,7 +62,7 @@
 // pullRecords fetches from a peer the records that this host's copy lacks. age is the
 // time since the peer's copy was last known to be up to date.
 func (m *Mesh) pullRecords(ctx context.Context, address, topic string, table *mirror.Table, age time.Duration) error {
-	args := RecordsArgs{Topic: topic, From: table.SignificantEnd()}
+	args := RecordsArgs{Topic: topic, From: table.End()}
 	if !table.Complete() {
 		args.From = 0
 	}
@@ -80,12 +78,7 @@
 		return err
 	}
 	now := time.Now()
-	var changed []mirror.Record
-	if args.From == 0 && !table.Complete() {
-		changed = table.Snapshot(records, reply.End, now)
-	} else {
-		changed = table.Apply(records, reply.End, now)
-	}
+	changed := table.Take(mirror.Changes{Records: records, End: reply.End, Whole: reply.Whole}, now)
 	table.ConfirmUpToDate(now.Add(-age))
 	if len(changed) > 0 {
 		m.deps.OnRecords(topic, changed)
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -469,9 +469,9 @@
 	if table == nil {
 		return eris.Errorf("unknown topic: %s", args.Topic)
 	}
-	var records []mirror.Record
-	records, reply.End, reply.Complete = table.Since(args.From)
+	changes, complete := table.Since(args.From)
+	reply.End, reply.Whole, reply.Complete = changes.End, changes.Whole, complete
 	var err error
-	reply.Packed, err = s.mesh.packedReplies.get(args, reply.End, records)
+	reply.Packed, err = s.mesh.packedReplies.get(args, changes)
 	return err
 }
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -155,6 +155,22 @@
 
 // Usage counts are most of the bytes of a message, and messages cross data centres. So
 // only the hosts that need them get them, until the final message.
+// Guards against a server that stays in use at hosts that only a fresh copy is ahead of: its
+// snapshot has no record of the removal.
+func TestRemovalReachesHostsFromAHostThatHasJustStarted(t *testing.T) {
+	seed := freeAddress(t)
+	behind := startNode(t, "a", seed)
+	behind.table.Snapshot([]mirror.Record{{Key: "gone", Value: []byte("1"), Offset: 4}, {Key: "kept", Value: []byte("1"), Offset: 5}}, 6, time.Now())
+	fresh := startNode(t, "b", freeAddress(t), seed)
+	fresh.table.Snapshot([]mirror.Record{{Key: "kept", Value: []byte("2"), Offset: 9}}, 10, time.Now())
+	require.Eventually(t, func() bool {
+		r, _ := behind.table.Get("kept")
+		return string(r.Value) == "2"
+	}, 8*time.Second, 20*time.Millisecond)
+	_, ok := behind.table.Get("gone")
+	assert.False(t, ok)
+}
+
 func TestCountsGoToTheHostsThatNeedThemAndToAllAtTheEnd(t *testing.T) {
 	seed := freeAddress(t)
 	a := startNode(t, "a", seed)
--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -34,8 +34,8 @@
 
 // CopyStatus describes a host's copy of a topic.
 type CopyStatus struct {
-	// End is the offset after the last record that changed the copy in a significant
-	// way.
+	// End is the offset after the last significant change that the copy has, and before
+	// which it has all of them.
 	End uint64
 	// Age is the time since the copy was last known to be up to date.
 	Age time.Duration
@@ -150,8 +150,9 @@
 type RecordsReply struct {
 	// Packed holds the records as encoded by pack.
 	Packed []byte
-	// End is the offset after the last significant change of the copy.
-	End uint64
+	// End and Whole are those of mirror.Changes.
+	End   uint64
+	Whole bool
 	// Complete is set if the peer's copy has taken a snapshot of the topic.
 	Complete bool
 }
--- a/pkg/mesh/packed.go
+++ b/pkg/mesh/packed.go
@@ -26,19 +26,20 @@
 }
 
 type packedReply struct {
-	end  uint64
-	data []byte
+	end   uint64
+	whole bool
+	data  []byte
 }
 
 // get returns the records for the arguments in packed form, and packs them unless the
 // cache has the same records up to the same end.
-func (p *packedReplyCache) get(args RecordsArgs, end uint64, records []mirror.Record) ([]byte, error) {
+func (p *packedReplyCache) get(args RecordsArgs, changes mirror.Changes) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if a, ok := p.entries[args]; ok && a.end == end {
+	if a, ok := p.entries[args]; ok && a.end == changes.End && a.whole == changes.Whole {
 		return a.data, nil
 	}
-	data, err := pack(records)
+	data, err := pack(changes.Records)
 	if err != nil {
 		return nil, err
 	}
@@ -48,7 +49,7 @@
 	if p.entries == nil {
 		p.entries = map[RecordsArgs]packedReply{}
 	}
-	p.entries[args] = packedReply{end, data}
+	p.entries[args] = packedReply{changes.End, changes.Whole, data}
 	return data, nil
 }
 
--- a/pkg/mirror/follower.go
+++ b/pkg/mirror/follower.go
@@ -144,11 +144,13 @@
 }
 
 func (f *Follower) snapshot(ctx context.Context) error {
+	// A listing of several pages may lack changes that were made while it was read.
+	began := time.Now()
 	records, end, err := f.Store.Newest(ctx, f.Topic)
 	if err != nil {
 		return err
 	}
-	f.Table.markRead(time.Now())
+	f.Table.markRead(began)
 	f.notifyChanged(f.Table.Snapshot(records, end, time.Now()))
 	return nil
 }
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -43,15 +43,20 @@
 	assert.Equal(t, uint64(21), table.End())
 }
 
+// since returns the changes of a complete table from an offset on.
+func since(t *testing.T, table *Table, from uint64) Changes {
+	t.Helper()
+	changes, complete := table.Since(from)
+	require.True(t, complete)
+	return changes
+}
+
 func TestSinceIncludesRemovals(t *testing.T) {
 	table, peer := NewTable(nil), NewTable(nil)
 	table.Snapshot([]Record{{Key: "a", Value: []byte("1"), Offset: 1}}, 2, now)
-	records, end, complete := table.Since(0)
-	require.True(t, complete)
-	peer.Snapshot(records, end, now)
+	peer.Take(since(t, table, 0), now)
 	table.Apply([]Record{{Key: "a", Offset: 7}}, 8, now)
-	records, end, _ = table.Since(peer.End())
-	changed := peer.Apply(records, end, now)
+	changed := peer.Take(since(t, table, peer.End()), now)
 	require.Len(t, changed, 1)
 	_, ok := peer.Get("a")
 	assert.False(t, ok)
@@ -60,14 +65,14 @@
 
 func TestTrimDropsOldRemovalsOnly(t *testing.T) {
 	table := NewTable(nil)
+	table.Snapshot(nil, 0, now)
 	table.Apply([]Record{{Key: "a", Offset: 1}, {Key: "b", Value: []byte("x"), Offset: 2}}, 3, now)
 	table.Trim(now.Add(removalTTL / 2))
-	records, _, _ := table.Since(0)
-	assert.Len(t, records, 2)
+	assert.Len(t, since(t, table, 0).Records, 2)
 	table.Trim(now.Add(2 * removalTTL))
-	records, _, _ = table.Since(0)
-	require.Len(t, records, 1)
-	assert.Equal(t, "b", records[0].Key)
+	changes := since(t, table, 0)
+	require.Len(t, changes.Records, 1)
+	assert.Equal(t, "b", changes.Records[0].Key)
 }
 
 // scriptedStore is a Store whose results come from functions.
@@ -145,13 +150,12 @@
 	assert.Equal(t, end, table.SignificantEnd())
 	assert.Equal(t, uint64(6), table.End())
 	require.Len(t, table.Apply([]Record{{Key: "a", Value: []byte("y"), Offset: 7}}, 8, now), 1)
-	records, _, _ := table.Since(end)
+	records := since(t, table, end).Records
 	require.Len(t, records, 1)
 	assert.Equal(t, "y", string(records[0].Value))
 	// An equivalent value must not hide an earlier change that a peer has missed.
 	table.Apply([]Record{{Key: "a", Value: []byte("y2"), Offset: 9}}, 10, now)
-	records, _, _ = table.Since(end)
-	require.Len(t, records, 1)
+	require.Len(t, since(t, table, end).Records, 1)
 }
 
 // Each host of a data centre passes on what it reads, so that only few of them need to
--- a/pkg/mirror/table.go
+++ b/pkg/mirror/table.go
@@ -4,6 +4,7 @@
 package mirror
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -38,8 +39,12 @@
 	equivalent func(key string, old, new []byte) bool
 	// significant is the offset of the last significant change of each key.
 	significant map[string]uint64
-	// significantEnd is the offset after the last significant change.
+	// significantEnd is the offset after the last significant change, or the end of a later
+	// snapshot.
 	significantEnd uint64
+	// removalsFrom is the offset from which on the table has all removals. A snapshot has
+	// none of the removals before its end, and Trim drops old ones.
+	removalsFrom uint64
 	// complete is set once the table has taken a snapshot of the topic.
 	complete bool
 	// upToDateAt is when the table was last known to be up to date.
@@ -56,7 +61,7 @@
 	}
 }
 
-// End returns the offset after the last record that the table has taken.
+// End returns the offset before which the table has all significant changes.
 func (t *Table) End() uint64 {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
@@ -103,30 +108,45 @@
 
 // Apply takes records in any order and returns those that made a significant change. A
 // record that is older than the one in the table is ignored, so that a key never returns
-// to an older value. end is the offset after the records, or 0 if unknown.
+// to an older value. end is the offset before which the table has all significant changes
+// once it has taken the records.
 func (t *Table) Apply(records []Record, end uint64, now time.Time) []Record {
+	return t.apply(records, end, false, now)
+}
+
+// apply applies records like Apply. significant is set if all of them are significant.
+func (t *Table) apply(records []Record, end uint64, significant bool, now time.Time) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var changed []Record
 	for _, r := range records {
-		if t.put(r, now) {
+		if t.forgotten(r) {
+			continue
+		}
+		if t.put(r, significant, now) {
 			changed = append(changed, r)
 		}
-		end = max(end, r.Offset+1)
 	}
 	t.end = max(t.end, end)
 	return changed
 }
 
-// put takes a record and reports whether it made a significant change. The caller holds
-// t.mu.
-func (t *Table) put(r Record, now time.Time) bool {
+// forgotten reports whether a record is of a key whose removal the table does not have, since
+// it is from before its snapshot: such a record arrives late. The caller holds t.mu.
+func (t *Table) forgotten(r Record) bool {
+	known, ok := t.records[r.Key]
+	return (!ok || known.Removed()) && t.complete && r.Offset < t.removalsFrom
+}
+
+// put takes a record and reports whether it made a significant change, which it does in any
+// case if significant is set. The caller holds t.mu.
+func (t *Table) put(r Record, significant bool, now time.Time) bool {
 	old, known := t.records[r.Key]
 	if known && old.Offset >= r.Offset {
 		return false
 	}
 	t.records[r.Key] = r
-	if known && !old.Removed() && !r.Removed() && t.equivalent != nil && t.equivalent(r.Key, old.Value, r.Value) {
+	if !significant && known && !old.Removed() && !r.Removed() && t.equivalent != nil && t.equivalent(r.Key, old.Value, r.Value) {
 		return false
 	}
 	t.significant[r.Key] = r.Offset
@@ -146,9 +166,13 @@
 	defer t.mu.Unlock()
 	var changed []Record
 	present := make(map[string]bool, len(records))
+	late := t.complete && end < t.end
 	for _, r := range records {
-		present[r.Key] = true
-		if t.put(r, now) {
+		present[r.Key] = !r.Removed()
+		if late && t.forgotten(r) {
+			continue
+		}
+		if t.put(r, false, now) {
 			changed = append(changed, r)
 		}
 	}
@@ -157,40 +181,73 @@
 			continue
 		}
 		gone := Record{Key: key, Offset: end - 1}
-		if end < t.end || !t.put(gone, now) {
+		if end < t.end || !t.put(gone, false, now) {
 			continue
 		}
 		changed = append(changed, gone)
 	}
+	if !t.complete || end > t.end {
+		// There may be removals before the end that the table does not have, which are
+		// significant changes.
+		t.removalsFrom = max(t.removalsFrom, end)
+		t.significantEnd = max(t.significantEnd, end)
+	}
 	t.end = max(t.end, end)
 	t.complete = true
 	return changed
 }
 
-// SignificantEnd returns the offset after the last significant change.
+// SignificantEnd returns the offset after the last significant change. It is not above End,
+// even if records from beyond it are known: others may be missing between them.
 func (t *Table) SignificantEnd() uint64 {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return t.significantEnd
+	return min(t.significantEnd, t.end)
+}
+
+// Changes are the records of a table that a peer which is behind takes over.
+type Changes struct {
+	Records []Record
+	// End is the offset before which a peer that takes the records has all significant
+	// changes.
+	End uint64
+	// Whole is set if the records are those of all keys, since the table does not have all
+	// removals that the peer may lack. The peer removes the keys that they lack.
+	Whole bool
 }
 
 // Since returns the records with a significant change at an offset or later, for a peer
-// that is behind. end is the offset after the last significant change.
-func (t *Table) Since(from uint64) (records []Record, end uint64, complete bool) {
+// that is behind. complete reports whether the table has taken a snapshot of the topic.
+func (t *Table) Since(from uint64) (changes Changes, complete bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
+	changes = Changes{End: min(t.significantEnd, t.end), Whole: from < t.removalsFrom}
 	for key, r := range t.records {
-		if t.significant[key] >= from {
-			records = append(records, r)
+		if changes.Whole || t.significant[key] >= from {
+			changes.Records = append(changes.Records, r)
 		}
 	}
-	slices.SortFunc(records, func(a, b Record) int {
-		if a.Offset < b.Offset {
-			return -1
-		}
-		return 1
-	})
-	return records, t.significantEnd, t.complete
+	slices.SortFunc(changes.Records, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	return changes, t.complete
+}
+
+// Take applies the changes from a complete table and returns the records that made a
+// significant change. A value that is equivalent to the one of this table counts as well:
+// the key may have been removed in between.
+func (t *Table) Take(changes Changes, now time.Time) []Record {
+	if changes.Whole || !t.Complete() {
+		return t.Snapshot(changes.Records, changes.End, now)
+	}
+	return t.apply(changes.Records, changes.End, true, now)
+}
+
+// Newest returns the newest record of a key, which may be its removal, and false if none is
+// known.
+func (t *Table) Newest(key string) (Record, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	r, ok := t.records[key]
+	return r, ok
 }
 
 // Get returns the newest record of a key, and false if there is none or the key was
@@ -208,6 +265,7 @@
 	defer t.mu.Unlock()
 	for key, at := range t.removed {
 		if now.Sub(at) > removalTTL {
+			t.removalsFrom = max(t.removalsFrom, t.records[key].Offset+1)
 			delete(t.removed, key)
 			delete(t.records, key)
 			delete(t.significant, key)
