Apply the newest record of a backend server's entry

A removed server could return for good: records from the store and from peers are applied in several goroutines, so that an earlier one may come after the removal.

Change: the registry looks up the newest record of the key under its lock.

--- a/pkg/edgehost/host.go
+++ b/pkg/edgehost/host.go
@@ -100,7 +100,9 @@
 	placementSettings.DataCentre = s.DataCentre
 	h.fleet = placement.NewFleet(placementSettings)
 	h.registry = &registry{
-		platform: p, fleet: h.fleet, catalog: h.catalog.Load, log: log, entries: map[string]*registryEntry{},
+		platform: p, fleet: h.fleet, catalog: h.catalog.Load,
+		newest: func(key string) (mirror.Record, bool) { return h.tables[TopicBackends].Newest(key) },
+		log:    log, entries: map[string]*registryEntry{},
 		invalidateConnections: func(address string) { h.pool.Invalidate(address) }, countUnreadable: h.metrics.unreadableRecords.Inc,
 		wakeMesh: func() { h.mesh.Wake() },
 	}
--- a/pkg/edgehost/readiness_test.go
+++ b/pkg/edgehost/readiness_test.go
@@ -15,7 +15,8 @@
 )
 
 func TestReadinessNeedsNoHostHeader(t *testing.T) {
-	h := &Host{log: zap.NewNop(), registry: newRegistryFixture().registry}
+	b := newRegistryFixture()
+	h := &Host{log: zap.NewNop(), registry: b.registry}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = listener.Close() }()
@@ -34,7 +35,6 @@
 	assert.Equal(t, 503, ask(), "no configuration is known")
 	h.catalog.Store(catalog.New(catalog.Config{Version: 1}))
 	assert.Equal(t, 503, ask(), "no backend server is known")
-	b := registryFixture{registry: h.registry}
 	b.put("x", 1, false, 0)
 	assert.Equal(t, 200, ask())
 	h.stopping.Store(true)
--- a/pkg/edgehost/registry.go
+++ b/pkg/edgehost/registry.go
@@ -23,8 +23,10 @@
 	fleet                 *placement.Fleet
 	invalidateConnections func(address string)
 	catalog               func() *catalog.Catalog
-	log                   *zap.Logger
-	countUnreadable       func()
+	// newest returns the newest record of a key in the table of registrations.
+	newest          func(key string) (mirror.Record, bool)
+	log             *zap.Logger
+	countUnreadable func()
 	// wakeMesh tells the peers at once that a server is leaving or gone.
 	wakeMesh func()
 
@@ -62,11 +64,16 @@
 	r.upToDateAt = at
 }
 
-// apply applies changed records.
+// apply applies changed records. Records from the store and from peers arrive in several
+// goroutines, so that a later one of the same key may have been applied already: the newest
+// one counts.
 func (r *registry) apply(records []mirror.Record, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, record := range records {
+		if newest, ok := r.newest(record.Key); ok {
+			record = newest
+		}
 		if record.Removed() {
 			r.handleRemovedEntry(record.Key, now)
 			continue
--- a/pkg/edgehost/registry_test.go
+++ b/pkg/edgehost/registry_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
 	"github.com/redwingpath/redwingpath/pkg/catalog"
@@ -49,10 +50,13 @@
 type registryFixture struct {
 	*registry
 	offset uint64
+	table  *mirror.Table
 }
 
 func newRegistryFixture() *registryFixture {
-	return &registryFixture{registry: &registry{
+	table := mirror.NewTable(nil)
+	return &registryFixture{table: table, registry: &registry{
+		newest:   table.Newest,
 		platform: jsonPlatform{}, fleet: placement.NewFleet(placement.DefaultSettings()), invalidateConnections: func(string) {},
 		catalog: func() *catalog.Catalog { return nil }, log: zap.NewNop(), countUnreadable: func() {}, wakeMesh: func() {},
 		entries: map[string]*registryEntry{},
@@ -65,9 +69,27 @@
 }
 
 func (b *registryFixture) record(key string, raw []byte, at time.Duration) {
-	b.offset++
 	b.noteUpToDate(start.Add(at))
-	b.apply([]mirror.Record{{Key: key, Value: raw, Offset: b.offset}}, start.Add(at))
+	b.apply(b.write(key, raw), start.Add(at))
+}
+
+// write puts a record into the table and returns it.
+func (b *registryFixture) write(key string, raw []byte) []mirror.Record {
+	b.offset++
+	return b.table.Apply([]mirror.Record{{Key: key, Value: raw, Offset: b.offset}}, b.offset+1, start)
+}
+
+// Guards against a removed server that returns, since an earlier record that came from a peer
+// is applied after the removal that was read from the store.
+func TestRecordThatIsAppliedLateDoesNotReturnARemovedServer(t *testing.T) {
+	b := newRegistryFixture()
+	b.put("x", 1, false, 0)
+	raw, _ := json.Marshal(Registration{Backend: placement.Backend{Service: "s", Address: "a", Stage: 1}, Born: 1})
+	late := b.write("x", raw)
+	b.record("x", nil, time.Second)
+	require.False(t, b.fleet.Usable("x"))
+	b.apply(late, start.Add(time.Second))
+	assert.False(t, b.fleet.Usable("x"))
 }
 
 func TestRemovedEntryRemovesTheServerAtOnce(t *testing.T) {
