Give every response a framing of the host's own

Change: plain answers get a length, streams chunks; for HTTP/1.0 a stream is collected and sent with its length. A body without a framing counts as ended only if its server still accepts connections. The same in pkg/entry.

--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -3,8 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
+	"net"
 	"net/http"
+	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -28,8 +32,10 @@
 	header http.Header
 	// length is the Content-Length, or -1 if it is unknown.
 	length int64
-	// unframed is set if only the end of the connection marks the end of the body.
+	// unframed is set if only the end of the connection marks the end of the body, address
+	// is that of the service.
 	unframed  bool
+	address   string
 	buffered  []byte
 	remainder io.ReadCloser
 	// relayErr is the error that ended the relay of remainder.
@@ -38,6 +44,23 @@
 	done func(error)
 }
 
+// serviceProbeTimeout bounds the connection that shows whether a service is still there.
+const serviceProbeTimeout = time.Second
+
+// endedWithService reports whether the body ended because the service's process did: a body
+// without a framing then ends in good order too, but the service refuses connections.
+func (r *serviceResponse) endedWithService(ctx context.Context) bool {
+	if !r.unframed {
+		return false
+	}
+	conn, err := (&net.Dialer{Timeout: serviceProbeTimeout}).DialContext(ctx, "tcp", r.address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
 func (r *serviceResponse) close() {
 	if r.remainder != nil {
 		_ = r.remainder.Close()
@@ -70,7 +93,7 @@
 		return nil, &engine.StatusError{Status: resp.StatusCode}
 	}
 	_ = c.outcome.Apply(atmostonce.EventResponse)
-	return h.bufferServiceBody(c, resp)
+	return h.bufferServiceBody(ctx, c, resp)
 }
 
 func serviceRequest(ctx context.Context, c *call, baseURL string) (*http.Request, error) {
@@ -98,9 +121,10 @@
 // still be retried, and leaves the remainder of longer ones to be relayed as it
 // arrives. The response to a non-idempotent call is read up to the size that is
 // recorded for duplicates.
-func (h *Handler) bufferServiceBody(c *call, resp *http.Response) (*serviceResponse, error) {
+func (h *Handler) bufferServiceBody(ctx context.Context, c *call, resp *http.Response) (*serviceResponse, error) {
 	response := &serviceResponse{status: resp.StatusCode, header: resp.Header, length: resp.ContentLength}
 	response.unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	response.address = resp.Request.URL.Host
 	if resp.Body == http.NoBody {
 		return response, nil
 	}
@@ -124,6 +148,9 @@
 	if int64(len(buffered)) == resp.ContentLength || !c.idempotent() && int64(len(buffered)) < limit {
 		_ = resp.Body.Close()
 		response.remainder = nil
+		if response.endedWithService(ctx) {
+			return nil, eris.Wrap(io.ErrUnexpectedEOF, "read service response: the service has ended with its connection")
+		}
 	}
 	return response, nil
 }
--- a/pkg/entry/service.go
+++ b/pkg/entry/service.go
@@ -161,10 +161,13 @@
 	if r.length > 0 {
 		header.Set("Content-Length", strconv.FormatInt(r.length, 10))
 	}
-	if r.unframed {
-		// The body is not known to be complete, so that it gets no framing here either:
-		// net/http then closes the caller's connection at its end.
-		header.Set("Transfer-Encoding", "identity")
+	if r.length < 0 && r.remainder != nil && !c.r.ProtoAtLeast(1, 1) {
+		// A caller without chunks needs a length: the end of this host would look like the
+		// end of the body.
+		if err := h.readRemainder(r); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		header.Set("Content-Length", strconv.Itoa(len(r.buffered)))
 	}
 	out := &deadlineWriter{c: c, timeout: h.settings.WriteTimeout}
 	c.w.WriteHeader(r.status)
@@ -179,9 +182,24 @@
 		r.relayErr = err
 		panic(http.ErrAbortHandler)
 	}
+	if r.endedWithService(c.r.Context()) {
+		r.relayErr = io.ErrUnexpectedEOF
+		panic(http.ErrAbortHandler)
+	}
 	return nil
 }
 
+// readRemainder adds the remainder of the body to what is buffered.
+func (h *Handler) readRemainder(r *serviceResponse) error {
+	rest, err := io.ReadAll(io.LimitReader(r.remainder, h.settings.MaxResponseBytes+1))
+	if err == nil && (int64(len(rest)) > h.settings.MaxResponseBytes || r.endedWithService(context.Background())) {
+		err = io.ErrUnexpectedEOF
+	}
+	_ = r.remainder.Close()
+	r.buffered, r.remainder, r.relayErr = append(r.buffered, rest...), nil, err
+	return err
+}
+
 // deadlineWriter gives each write to the caller its own deadline and flushes
 // it.
 type deadlineWriter struct {
--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
-	"net"
+	"context"
 	"net/http"
 	"strconv"
 
+	"github.com/rotisserie/eris"
+
+	"github.com/redwingpath/redwingpath/pkg/placement"
 	"github.com/redwingpath/redwingpath/pkg/upstream"
 )
 
@@ -27,9 +30,8 @@
 	return m.Misdirected || m.NotRun && resp.StatusCode >= minRefusalStatus && resp.StatusCode <= maxRefusalStatus
 }
 
-// setPlainFraming frames the response to the caller as the backend server framed its own.
-// A body that ended with the connection stays without a length, since it is not known to
-// be complete.
+// setPlainFraming gives the response to the caller a length, so that the end of this host
+// cannot pass for the end of the body.
 func (c *call) setPlainFraming(resp *upstream.Response, size int) {
 	h := c.w.Header()
 	switch {
@@ -38,53 +40,27 @@
 		if resp.ContentLength >= 0 {
 			h.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 		}
-	case resp.Framed():
-		h.Set("Content-Length", strconv.Itoa(size))
 	default:
-		c.endWithConnection()
+		h.Set("Content-Length", strconv.Itoa(size))
 	}
 }
 
-// endWithConnection makes the end of the caller's connection mark the end of the body.
-func (c *call) endWithConnection() {
-	// net/http then sends neither a length nor chunks, and closes the connection.
-	c.w.Header().Set("Transfer-Encoding", "identity")
-	c.unframed = true
-}
-
-// breakOff ends a response that has begun, so that it does not look complete.
-func (c *call) breakOff() {
-	if c.unframed {
-		c.resetConnection()
-	}
-	panic(http.ErrAbortHandler)
-}
+// errEndedWithServer means that a body without a framing ended because its server did.
+var errEndedWithServer = eris.Wrap(errInterrupted, "the server has ended with its connection")
 
-// resetConnection resets the caller's connection, since an orderly close would complete a
-// body without a length.
-func (c *call) resetConnection() {
-	conn, _, err := http.NewResponseController(c.w).Hijack()
+// readWhole reads the body of a response. A body without a framing ends with its
+// connection, in good order even if the server's process has died, so that it is whole only
+// if the server still accepts connections.
+func (c *call) readWhole(ctx context.Context, resp *upstream.Response, b *placement.Backend) ([]byte, error) {
+	body, err := resp.ReadAll(c.g.settings.ResponseBytes)
 	if err != nil {
-		return
+		return nil, eris.Wrap(errInterrupted, err.Error())
 	}
-	if tcp := lingering(conn); tcp != nil {
-		_ = tcp.SetLinger(0)
+	if !resp.Framed() && c.g.deps.Pool.Refuses(ctx, b.Address) {
+		return nil, errEndedWithServer
 	}
-	_ = conn.Close()
+	return body, nil
 }
 
-type lingerer interface{ SetLinger(seconds int) error }
-
-// lingering returns the TCP connection below the layers, nil if there is none.
-func lingering(conn net.Conn) lingerer {
-	for {
-		if tcp, ok := conn.(lingerer); ok {
-			return tcp
-		}
-		layer, ok := conn.(interface{ NetConn() net.Conn })
-		if !ok {
-			return nil
-		}
-		conn = layer.NetConn()
-	}
-}
+// breakOff ends a response that has begun, so that it does not look complete.
+func (c *call) breakOff() { panic(http.ErrAbortHandler) }
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -56,8 +56,8 @@
 	// lastEventID is the id of the last event that the caller has received.
 	lastEventID string
 	headerSent  bool
-	// unframed is set if the response to the caller ends with its connection.
-	unframed    bool
+	// held collects a stream for a caller that knows no chunks, nil for others.
+	held        *heldResponse
 	firstByteAt time.Time
 	// lastEventAt is when events were last forwarded, longestPause the longest time
 	// between two such writes.
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -5,8 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/redwingpath/redwingpath/pkg/placement"
 	"github.com/redwingpath/redwingpath/pkg/upstream"
 )
@@ -68,10 +66,10 @@
 		return nil, nil, err
 	}
 	c.countUsage()
-	body, err := resp.ReadAll(c.g.settings.ResponseBytes)
+	body, err := c.readWhole(attempt, resp, &plan.Run)
 	if err != nil {
 		resp.Abandon()
-		return nil, nil, attemptError(attempt, eris.Wrap(errInterrupted, err.Error()))
+		return nil, nil, attemptError(attempt, err)
 	}
 	resp.Release()
 	c.g.typicalDuration.add(c.service.Name, time.Since(started))
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -90,6 +90,11 @@
 	if !c.headerSent {
 		return rejected
 	}
+	if c.held != nil {
+		c.held.discard()
+		c.w, c.headerSent = c.held.w, false
+		return rejected
+	}
 	c.report(rejected.status, "broken off: "+rejected.reason)
 	c.breakOff()
 	return nil
@@ -218,10 +223,9 @@
 		return attemptError(ctx, err)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return c.handleErrorResponse(ctx, resp)
+		return c.handleErrorResponse(ctx, resp, &plan.Run)
 	}
 	events := newEventReader(resp.Body, c.g.settings.EventBytes)
-	forwardedBefore := c.events
 	for {
 		batch, err := events.next()
 		if malformed := slices.IndexFunc(batch, event.malformed); malformed >= 0 {
@@ -244,7 +248,7 @@
 			watchdog.reset(c.eventGapTimeout())
 		}
 		if err == io.EOF {
-			return c.finishStream(ctx, resp, events, &plan.Run, c.events-forwardedBefore)
+			return c.finishStream(ctx, resp, events, &plan.Run)
 		}
 		if err != nil {
 			resp.Abandon()
@@ -255,58 +259,48 @@
 
 // finishStream handles the end of a stream, which must not be inside an event. A resumed
 // run without events completes the stream, since its engine states that none follow the
-// last one. A run without a framing that ends with its connection may be whole.
-func (c *call) finishStream(ctx context.Context, resp *upstream.Response, events *eventReader, run *placement.Backend, forwarded int) error {
+// last one. A run without a framing that ends with its connection is whole unless its
+// engine has crashed.
+func (c *call) finishStream(ctx context.Context, resp *upstream.Response, events *eventReader, run *placement.Backend) error {
 	if incomplete := events.incomplete(); len(incomplete) > 0 {
 		resp.Abandon()
 		return eris.Wrap(errInterrupted, "the stream ended inside an event")
 	}
-	if !resp.Framed() && !c.unframedRunIsWhole(ctx, run, forwarded) {
+	if !resp.Framed() && (c.events == 0 || c.g.deps.Pool.Refuses(ctx, run.Address)) {
 		resp.Abandon()
-		return eris.Wrap(errInterrupted, "the engine has ended with its connection")
+		return errEndedWithServer
 	}
 	resp.Release()
 	c.startStream(resp)
 	// net/http writes the end of the response after the handler has returned.
 	c.extendWriteDeadline()
-	return nil
-}
-
-// unframedRunIsWhole reports whether a run that ended with its connection may be whole. A
-// response to the caller without a framing states no more than the engine did. Where the
-// gateway has to state more, or the run had no events, the connection must not have ended
-// because the engine crashed.
-func (c *call) unframedRunIsWhole(ctx context.Context, run *placement.Backend, forwarded int) bool {
-	switch {
-	case c.events == 0:
-		return false
-	case c.unframed && forwarded > 0:
-		return true
+	if c.held != nil {
+		return c.held.finish()
 	}
-	return !c.g.deps.Pool.Refuses(ctx, run.Address)
+	return nil
 }
 
-// startStream sends the header of the response to the caller, once. The response to a run
-// without a framing ends with the caller's connection.
+// startStream sends the header of the response to the caller, once.
 func (c *call) startStream(resp *upstream.Response) {
 	if c.headerSent {
 		return
 	}
-	c.copyHeader(resp)
-	if !resp.Framed() {
-		c.endWithConnection()
+	if !c.r.ProtoAtLeast(1, 1) {
+		c.held = newHeldResponse(c.w, c.g.settings.ResponseBytes)
+		c.w = c.held
 	}
+	c.copyHeader(resp)
 	c.w.WriteHeader(resp.StatusCode)
 }
 
 // handleErrorResponse handles a failure that a backend server responded with. It returns
 // errServerFailure if the request may be retried or a response to the caller was started,
 // and otherwise forwards the failure and returns errForwarded.
-func (c *call) handleErrorResponse(ctx context.Context, resp *upstream.Response) error {
-	body, err := resp.ReadAll(c.g.settings.ResponseBytes)
+func (c *call) handleErrorResponse(ctx context.Context, resp *upstream.Response, run *placement.Backend) error {
+	body, err := c.readWhole(ctx, resp, run)
 	if err != nil {
 		resp.Abandon()
-		return attemptError(ctx, eris.Wrap(errInterrupted, err.Error()))
+		return attemptError(ctx, err)
 	}
 	resp.Release()
 	c.countUsage()
