Heed what backend servers state about themselves in responses

Change: the responses are notices that hold for the life of a server, whatever its entry in the store says. A leaving server gets nothing more, a paused one nothing until its pause ends; that is checked right before a request is written. With all servers of a service paused, requests are refused at once until the pause's end.

--- a/pkg/edgehost/fleet.go
+++ b/pkg/edgehost/fleet.go
@@ -239,7 +239,7 @@
 // its number of accepted orders, so that a delayed order has no effect.
 func (h *Host) orderStage(ctx context.Context, service *catalog.Service, change fleetplan.StageChange, term duty.Term, now time.Time) {
 	r, ok := h.registry.registration(change.ID)
-	if !ok {
+	if !ok || !h.fleet.Usable(change.ID) {
 		return
 	}
 	h.orderState.pendingStage[change.ID] = pendingStage{stage: change.Stage, until: now.Add(service.Engine.SwitchTime + switchMargin)}
--- a/pkg/edgehost/registry.go
+++ b/pkg/edgehost/registry.go
@@ -92,6 +92,7 @@
 // update applies a registration, which may be of a new incarnation.
 func (r *registry) update(key string, n Registration) {
 	old := r.entries[key]
+	n.Incarnation = n.Born
 	if old != nil && old.Born == n.Born && old.Leaving && old.Service == n.Service {
 		// A leaving server does not return in the same incarnation.
 		n.Leaving = true
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -26,8 +26,9 @@
 	errStalled       = errors.New("the backend server has not answered in time")
 	errInterrupted   = errors.New("the backend server broke off its answer")
 	errServerFailure = errors.New("the backend server answered with a failure")
-	// errLeaving means that the server started to leave before the request was sent.
-	errLeaving = errors.New("the backend server is leaving")
+	// errLeaving means that the server started to leave, or asked for a pause, before the
+	// request was sent.
+	errLeaving = errors.New("the backend server is leaving or wants no requests")
 	// errConnect means that no connection was established, so that nothing was sent.
 	errConnect = errors.New("no connection to the backend server")
 )
@@ -70,11 +71,13 @@
 		return nil, err
 	}
 	respMetadata := c.g.deps.Dialect.ResponseMetadata(resp.StatusCode, resp.Header)
-	switch {
-	case !belongsTo(c.metadata.ID, resp, respMetadata):
+	if !belongsTo(c.metadata.ID, resp, respMetadata) {
 		resp.Abandon()
 		c.g.deps.Pool.Invalidate(b.Address)
 		return nil, errOtherRequest
+	}
+	c.g.heedNotices(b, respMetadata)
+	switch {
 	case refuses(resp, respMetadata):
 		_ = c.outcome.Apply(atmostonce.EventRefusal)
 		c.discardBody(resp)
--- a/pkg/gateway/report.go
+++ b/pkg/gateway/report.go
@@ -16,8 +16,8 @@
 // the same time do not retry at the same time.
 func (c *call) retryAfter(d time.Duration) time.Duration {
 	s := c.g.settings
-	d = min(max(d, s.MinRetryAfter), s.MaxRetryAfter)
-	return d + time.Duration(rand.Float64()*0.5*float64(d))
+	d = max(min(max(d, s.MinRetryAfter), s.MaxRetryAfter), c.pauseLeft())
+	return d + time.Duration(rand.Float64()*0.5*float64(min(d, s.MaxRetryAfter)))
 }
 
 // reject writes a rejection to the caller.
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -414,6 +414,7 @@
 		c.g.deps.Pool.Invalidate(b.Address)
 		return "", errOtherRequest
 	}
+	c.g.heedNotices(b, respMetadata)
 	body, err := resp.ReadAll(c.g.settings.ResponseBytes)
 	if err != nil {
 		resp.Abandon()
@@ -440,7 +441,7 @@
 		method, path := c.g.deps.Dialect.ReleaseCall(handle)
 		req, err := http.NewRequestWithContext(ctx, method, "http://"+backend.Address+path, nil)
 		if err == nil {
-			err = c.g.sendAndDiscard(ctx, backend.Address, req)
+			err = c.g.sendAndDiscard(ctx, &backend, req)
 		}
 		if err != nil {
 			log.Debug("cannot release the KV cache of an unused prefill", zap.String("backend", string(backend.ID)), zap.Error(err))
@@ -449,15 +450,22 @@
 }
 
 // sendAndDiscard sends a request and discards the response.
-func (g *Gateway) sendAndDiscard(ctx context.Context, address string, req *http.Request) error {
-	conn, err := g.deps.Pool.Get(ctx, address, false)
+func (g *Gateway) sendAndDiscard(ctx context.Context, b *placement.Backend, req *http.Request) error {
+	conn, err := g.deps.Pool.Get(ctx, b.Address, false)
 	if err != nil {
 		return err
 	}
+	if g.deps.Fleet.Paused(b.ID) {
+		conn.Unused()
+		return errLeaving
+	}
 	resp, _, err := conn.Send(ctx, req)
 	if err != nil {
 		return err
 	}
+	if metadata := g.deps.Dialect.ResponseMetadata(resp.StatusCode, resp.Header); resp.FirstOnConnection() {
+		g.heedNotices(b, metadata)
+	}
 	if _, err := resp.ReadAll(g.settings.ResponseBytes); err != nil {
 		resp.Abandon()
 		return err
--- a/pkg/gateway/testbed_test.go
+++ b/pkg/gateway/testbed_test.go
@@ -65,7 +65,11 @@
 }
 
 func (plainDialect) ResponseMetadata(status int, h http.Header) ResponseMetadata {
-	return ResponseMetadata{ID: h.Get("X-Id"), NotRun: h.Get("X-Not-Run") != "", Misdirected: status == 421, Sealed: h.Get("X-Seal") != ""}
+	pause, _ := time.ParseDuration(h.Get("X-Pause"))
+	return ResponseMetadata{
+		ID: h.Get("X-Id"), NotRun: h.Get("X-Not-Run") != "", Misdirected: status == 421, Sealed: h.Get("X-Seal") != "",
+		Leaving: h.Get("X-Leaving") != "", Pause: pause,
+	}
 }
 
 func (plainDialect) ResponseHeader(h http.Header) http.Header {
--- a/pkg/gateway/types.go
+++ b/pkg/gateway/types.go
@@ -59,6 +59,11 @@
 	Misdirected bool
 	// Sealed is set if the response carries the backend server's signature.
 	Sealed bool
+	// Leaving is set if the backend server states that it is leaving.
+	Leaving bool
+	// Pause is the time for which the backend server wants no requests from this host, 0 if
+	// it has not asked for that.
+	Pause time.Duration
 }
 
 // Dialect translates headers between a deployment and the gateway.
--- a/pkg/placement/fleet.go
+++ b/pkg/placement/fleet.go
@@ -19,6 +19,8 @@
 	unreportedSends []Send
 	// peerLoads is the load that each peer has reported for servers, by host.
 	peerLoads map[string][]peerLoad
+	// notices are what servers have stated about themselves.
+	notices map[life]*notice
 }
 
 // service holds the servers of a service and the estimates for its engines.
@@ -57,11 +59,13 @@
 	// switching is set while the engine is about to change its stage and accepts no
 	// requests.
 	switching bool
+	// pausedUntil is the time until which the server wants no requests.
+	pausedUntil time.Time
 }
 
 // NewFleet returns a fleet without servers.
 func NewFleet(s Settings) *Fleet {
-	return &Fleet{settings: s, servers: map[model.BackendID]*server{}, services: map[model.PoolName]*service{}, position: position{hosts: 1}, peerLoads: map[string][]peerLoad{}}
+	return &Fleet{settings: s, servers: map[model.BackendID]*server{}, services: map[model.PoolName]*service{}, position: position{hosts: 1}, peerLoads: map[string][]peerLoad{}, notices: map[life]*notice{}}
 }
 
 // Update adds or updates a server.
@@ -83,6 +87,7 @@
 		f.service(b.Service).preferencesValid = false
 	}
 	s.Backend = b
+	f.heedNotice(s)
 	if b.Engine != nil {
 		s.cache.limitTokens = int(cacheShare * float64(b.Engine.CacheTokens))
 	}
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -32,7 +32,7 @@
 func (f *Fleet) place(k *service, r *Request, strict bool, now time.Time) (Plan, bool) {
 	d := decision{fleet: f, service: k, request: r, now: now}
 	for _, s := range k.servers {
-		if !s.accepts(r) || strict && now.Before(s.suspectUntil) {
+		if !s.accepts(r, now) || strict && now.Before(s.suspectUntil) {
 			continue
 		}
 		switch s.Stage {
@@ -349,7 +349,7 @@
 	var best *server
 	var lowest time.Duration
 	for _, s := range k.servers {
-		if s.Stage != StageDecode || !s.accepts(r) || now.Before(s.suspectUntil) {
+		if s.Stage != StageDecode || !s.accepts(r, now) || now.Before(s.suspectUntil) {
 			continue
 		}
 		_, cost := d.transfer(r.PromptTokens-s.cache.prefixTokens(r.Parts), prefiller, s)
@@ -366,8 +366,8 @@
 }
 
 // accepts reports whether a server may be sent a request.
-func (s *server) accepts(r *Request) bool {
-	return !s.Leaving && !s.switching && !slices.Contains(r.Exclude, s.ID) && (r.Only == "" || r.Only == s.ID)
+func (s *server) accepts(r *Request, now time.Time) bool {
+	return !s.Leaving && !s.switching && !s.paused(now) && !slices.Contains(r.Exclude, s.ID) && (r.Only == "" || r.Only == s.ID)
 }
 
 // Accepts reports whether a server is known and accepts new requests.
@@ -375,7 +375,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.servers[id]
-	return s != nil && s.accepts(&Request{})
+	return s != nil && s.accepts(&Request{}, time.Now())
 }
 
 // Leaves reports whether a server is known and accepts no new requests.
@@ -383,13 +383,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.servers[id]
-	return s != nil && !s.accepts(&Request{})
+	return s != nil && !s.accepts(&Request{}, time.Now())
 }
 
-// Usable reports whether a server is known and not leaving.
+// Usable reports whether a server is known, not leaving, and wants requests.
 func (f *Fleet) Usable(id model.BackendID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.servers[id]
-	return s != nil && !s.Leaving
+	return s != nil && !s.Leaving && !s.paused(time.Now())
 }
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -35,12 +35,14 @@
 
 // Backend is a backend server as described by its registration.
 type Backend struct {
-	ID         model.BackendID
-	Service    model.PoolName
-	Address    string
-	DataCentre model.DataCentreID
-	Stage      Stage
-	Slots      int
+	ID model.BackendID
+	// Incarnation tells the lives of a server with the same ID apart.
+	Incarnation int64
+	Service     model.PoolName
+	Address     string
+	DataCentre  model.DataCentreID
+	Stage       Stage
+	Slots       int
 	// Spot servers are cheap and may be reclaimed.
 	Spot bool
 	// Leaving servers get no new work.
