Consider a claim of the duties earlier

The silence that precedes the wait is no longer what keeps two holders apart, so that it is 1.8 s instead of 2.5 s; the stagger of claims reaches 3.6 s, so that hosts beyond the first still hear of a claim before they read the log.

TestFewOfManyHostsReadTheLogOnceTheHolderIsLost fails without the second part (91 calls, 60 allowed).

--- a/pkg/duty/duty.go
+++ b/pkg/duty/duty.go
@@ -86,12 +86,12 @@
 
 func usageKey(window int64) string { return string(KindUsage) + "/" + strconv.FormatInt(window, 10) }
 
-// Timing of claims. A dead holder is replaced within 5.5 s, well before the report of the
-// window in which it died is overdue.
+// Timing of claims. A dead holder is replaced within 5 s, half of the
+// time in which a usage report is due.
 const (
 	// holderTimeout is how long the holder must have been silent before another host
-	// considers a claim.
-	holderTimeout = 2500 * time.Millisecond
+	// considers a claim. A silence alone replaces nobody: the holder may still write.
+	holderTimeout = 1800 * time.Millisecond
 	// logQuietTime is how long the log must stay unchanged in addition.
 	logQuietTime = 2400 * time.Millisecond
 	// leaseMargin covers the way of a call to the platform and differences between the
@@ -109,7 +109,7 @@
 	claimStagger = 250 * time.Millisecond
 	// maxClaimStagger limits the total stagger, so that a report is not overdue if none of
 	// the hosts that claim first can reach the log.
-	maxClaimStagger = 3 * time.Second
+	maxClaimStagger = 3600 * time.Millisecond
 	// startupDelay keeps a host that has just started from claiming, unless the duties were
 	// never held.
 	startupDelay = 6 * time.Second
