Bound the memory for the bytes of all responses together

300 callers at a server whose body comes without end grew the heap by 559 to 656 MiB, 300 endless events by 122 MiB; a small host has 184 MB, and its other requests end with it.

Cause: the limits of heads, events and bodies held for one request only.

Bodies of refusals are dropped as they arrive.

--- a/pkg/edgehost/host.go
+++ b/pkg/edgehost/host.go
@@ -13,6 +13,7 @@
 	"github.com/redwingpath/redwingpath/pkg/duty"
 	"github.com/redwingpath/redwingpath/pkg/fleetplan"
 	"github.com/redwingpath/redwingpath/pkg/gateway"
+	"github.com/redwingpath/redwingpath/pkg/membudget"
 	"github.com/redwingpath/redwingpath/pkg/mesh"
 	"github.com/redwingpath/redwingpath/pkg/mirror"
 	"github.com/redwingpath/redwingpath/pkg/model"
@@ -71,8 +72,30 @@
 	policy fleetplan.Policy
 }
 
+// Shares of the process's memory for bytes from outside, all requests together. With them,
+// the heap stays below memoryShare.
+const (
+	responseMemoryShare = 0.15
+	requestMemoryShare  = 0.25
+	// defaultMemoryBytes is assumed where the platform states no memory limit: that of the
+	// smallest hosts.
+	defaultMemoryBytes = 184 << 20
+)
+
+// memoryBudget returns a share of the process's memory as a budget.
+func memoryBudget(s *Settings, share float64) *membudget.Budget {
+	memory := s.MemoryBytes
+	if memory <= 0 {
+		memory = defaultMemoryBytes
+	}
+	return membudget.New(int64(share * float64(memory)))
+}
+
 // New returns a host that is started by Run.
 func New(s *Settings, p Platform, dialect gateway.Dialect, log *zap.Logger) (*Host, error) {
+	responseMemory := memoryBudget(s, responseMemoryShare)
+	poolSettings := upstream.DefaultSettings()
+	poolSettings.Memory = responseMemory
 	h := &Host{
 		settings: s, log: log,
 		self: mesh.Member{
@@ -82,7 +105,7 @@
 		clock:           truetime.New(truetime.System()),
 		tables:          map[string]*mirror.Table{},
 		followers:       map[string]*mirror.Follower{},
-		pool:            upstream.NewPool(upstream.DefaultSettings()),
+		pool:            upstream.NewPool(poolSettings),
 		gatherer:        prometheus.NewRegistry(),
 		reportedWindows: map[int64]bool{},
 		orderState:      newOrderState(),
@@ -119,6 +142,7 @@
 	gatewaySettings.RetryRatio = retryShare * s.RetryRatio
 	gatewaySettings.RetryWindow = s.RetryWindow
 	h.gateway = gateway.New(gatewaySettings, gateway.Deps{
+		ResponseMemory: responseMemory, RequestMemory: memoryBudget(s, requestMemoryShare),
 		Catalog: h.catalog.Load, Fleet: h.fleet, Pool: h.pool, Dialect: dialect,
 		Limiter: h.quota, Usage: h.usage, Metrics: gateway.NewMetrics(h.gatherer), Log: log,
 	})
--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -52,7 +52,7 @@
 // connection, in good order even if the server's process has died, so that it is whole only
 // if the server still accepts connections.
 func (c *call) readWhole(ctx context.Context, resp *upstream.Response, b *placement.Backend) ([]byte, error) {
-	body, err := resp.ReadAll(c.g.settings.ResponseBytes)
+	body, err := resp.ReadAll(c.g.settings.ResponseBytes, c.responseMemory)
 	if err != nil {
 		return nil, eris.Wrap(errInterrupted, err.Error())
 	}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -92,7 +92,7 @@
 
 // discardBody reads the rest of a short response, so that its connection can be reused.
 func (c *call) discardBody(resp *upstream.Response) {
-	if _, err := resp.ReadAll(c.g.settings.ResponseBytes); err != nil {
+	if err := resp.Discard(c.g.settings.ResponseBytes); err != nil {
 		resp.Abandon()
 		return
 	}
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -14,6 +14,7 @@
 
 	"github.com/redwingpath/redwingpath/pkg/atmostonce"
 	"github.com/redwingpath/redwingpath/pkg/catalog"
+	"github.com/redwingpath/redwingpath/pkg/membudget"
 	"github.com/redwingpath/redwingpath/pkg/model"
 	"github.com/redwingpath/redwingpath/pkg/placement"
 	"github.com/redwingpath/redwingpath/pkg/quarantine"
@@ -31,6 +32,9 @@
 	service  *catalog.Service
 	org      *catalog.Organisation
 	body     []byte
+	// responseMemory and requestMemory pay for the bytes of responses and of the body.
+	responseMemory, requestMemory *membudget.Lease
+
 	arrived  time.Time
 	deadline time.Time
 	cost     float64
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -6,6 +6,8 @@
 	"io"
 	"strconv"
 	"unicode"
+
+	"github.com/redwingpath/redwingpath/pkg/membudget"
 )
 
 // event is one complete event of a stream, including the blank line that ends it.
@@ -47,17 +49,25 @@
 	// searched is the length of the prefix of buf that was searched for the end of an
 	// event.
 	searched int
-	// maxBytes bounds the size of an event.
+	// maxBytes bounds the size of an event, and memory pays for the buffer beyond its
+	// initial size and for the copies of events.
 	maxBytes int
+	memory   *membudget.Lease
 }
 
 // eventBufferBytes is the initial size of the read buffer.
 const eventBufferBytes = 4 << 10
 
-func newEventReader(body io.Reader, maxBytes int) *eventReader {
-	return &eventReader{body: body, buf: make([]byte, 0, eventBufferBytes), maxBytes: max(maxBytes, eventBufferBytes)}
+func newEventReader(body io.Reader, maxBytes int, memory *membudget.Lease) *eventReader {
+	return &eventReader{body: body, buf: make([]byte, 0, eventBufferBytes), maxBytes: max(maxBytes, eventBufferBytes), memory: memory}
 }
 
+// bufferCopies is the memory for each byte of the buffer: the buffer and an event in it.
+const bufferCopies = 2
+
+// free returns the memory of the buffer.
+func (r *eventReader) free() { r.memory.Shrink(bufferCopies * int64(cap(r.buf)-eventBufferBytes)) }
+
 // next reads once and returns the events that this completes.
 func (r *eventReader) next() ([]event, error) {
 	if r.err != nil {
@@ -68,7 +78,11 @@
 		return nil, r.err
 	}
 	if len(r.buf) == cap(r.buf) {
-		grown := make([]byte, len(r.buf), min(2*cap(r.buf), r.maxBytes))
+		size := min(2*cap(r.buf), r.maxBytes)
+		if r.err = r.memory.Grow(bufferCopies * int64(size-cap(r.buf))); r.err != nil {
+			return nil, r.err
+		}
+		grown := make([]byte, len(r.buf), size)
 		copy(grown, r.buf)
 		r.buf = grown
 	}
--- a/pkg/gateway/events_test.go
+++ b/pkg/gateway/events_test.go
@@ -12,7 +12,7 @@
 
 func readEvents(t *testing.T, r io.Reader) (ids []string, all, incomplete string) {
 	t.Helper()
-	reader := newEventReader(r, 1<<20)
+	reader := newEventReader(r, 1<<20, noLimit.NewLease())
 	for {
 		events, err := reader.next()
 		for _, e := range events {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/redwingpath/redwingpath/pkg/catalog"
+	"github.com/redwingpath/redwingpath/pkg/membudget"
 	"github.com/redwingpath/redwingpath/pkg/placement"
 	"github.com/redwingpath/redwingpath/pkg/upstream"
 )
@@ -22,6 +23,9 @@
 	Dialect Dialect
 	Limiter Limiter
 	Usage   Usage
+	// ResponseMemory bounds the bytes of responses that all requests hold together, and
+	// RequestMemory those of request bodies. They may be nil.
+	ResponseMemory, RequestMemory *membudget.Budget
 	// Metrics may be nil.
 	Metrics *Metrics
 	Log     *zap.Logger
@@ -79,7 +83,12 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.running.Add(1)
 	defer g.running.Add(-1)
-	c := &call{g: g, w: w, r: r, arrived: time.Now()}
+	c := &call{
+		g: g, w: w, r: r, arrived: time.Now(),
+		responseMemory: g.deps.ResponseMemory.NewLease(), requestMemory: g.deps.RequestMemory.NewLease(),
+	}
+	defer c.responseMemory.Free()
+	defer c.requestMemory.Free()
 	g.askToClose(w.Header())
 	metadata, finding := g.deps.Dialect.RequestMetadata(r.Header)
 	c.metadata = metadata
--- a/pkg/gateway/held.go
+++ b/pkg/gateway/held.go
@@ -6,6 +6,8 @@
 	"strconv"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/redwingpath/redwingpath/pkg/membudget"
 )
 
 // heldResponse collects a stream for a caller that speaks HTTP/1.0. Such a caller knows no
@@ -17,12 +19,13 @@
 	before http.Header
 	status int
 	body   []byte
-	// maxBytes bounds the body.
+	// maxBytes bounds the body, and memory pays for it.
 	maxBytes int64
+	memory   *membudget.Lease
 }
 
-func newHeldResponse(w http.ResponseWriter, maxBytes int64) *heldResponse {
-	return &heldResponse{w: w, before: w.Header().Clone(), maxBytes: maxBytes}
+func newHeldResponse(w http.ResponseWriter, maxBytes int64, memory *membudget.Lease) *heldResponse {
+	return &heldResponse{w: w, before: w.Header().Clone(), maxBytes: maxBytes, memory: memory}
 }
 
 var errHeldTooLong = eris.New("the stream is too long to be collected for a caller without chunks")
@@ -38,6 +41,9 @@
 	if int64(len(h.body)+len(p)) > h.maxBytes {
 		return 0, errHeldTooLong
 	}
+	if err := h.memory.Grow(int64(len(p))); err != nil {
+		return 0, err
+	}
 	h.body = append(h.body, p...)
 	return len(p), nil
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -225,7 +225,8 @@
 	if resp.StatusCode != http.StatusOK {
 		return c.handleErrorResponse(ctx, resp, &plan.Run)
 	}
-	events := newEventReader(resp.Body, c.g.settings.EventBytes)
+	events := newEventReader(resp.Body, c.g.settings.EventBytes, c.responseMemory)
+	defer events.free()
 	for {
 		batch, err := events.next()
 		if malformed := slices.IndexFunc(batch, event.malformed); malformed >= 0 {
@@ -286,7 +287,7 @@
 		return
 	}
 	if !c.r.ProtoAtLeast(1, 1) {
-		c.held = newHeldResponse(c.w, c.g.settings.ResponseBytes)
+		c.held = newHeldResponse(c.w, c.g.settings.ResponseBytes, c.responseMemory)
 		c.w = c.held
 	}
 	c.copyHeader(resp)
@@ -415,7 +416,7 @@
 		return "", errOtherRequest
 	}
 	c.g.heedNotices(b, respMetadata)
-	body, err := resp.ReadAll(c.g.settings.ResponseBytes)
+	body, err := resp.ReadAll(c.g.settings.ResponseBytes, c.responseMemory)
 	if err != nil {
 		resp.Abandon()
 		return "", attemptError(ctx, err)
@@ -466,7 +467,7 @@
 	if metadata := g.deps.Dialect.ResponseMetadata(resp.StatusCode, resp.Header); resp.FirstOnConnection() {
 		g.heedNotices(b, metadata)
 	}
-	if _, err := resp.ReadAll(g.settings.ResponseBytes); err != nil {
+	if err := resp.Discard(g.settings.ResponseBytes); err != nil {
 		resp.Abandon()
 		return err
 	}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/redwingpath/redwingpath/pkg/membudget"
 )
 
 // Buffer sizes of a connection. The header and a short body of a request fit in one
@@ -131,12 +133,12 @@
 	}
 	// A backend server may refuse a long request before it has read all of it, so that
 	// a response may be readable although the write failed.
-	c.header.remaining, c.header.limited = c.pool.settings.MaxHeaderBytes, true
+	c.header.begin(c.pool.settings)
 	response, err := http.ReadResponse(c.reader, req)
 	for err == nil && response.StatusCode >= 100 && response.StatusCode < 200 {
 		response, err = http.ReadResponse(c.reader, req)
 	}
-	c.header.limited = false
+	c.header.end()
 	if err != nil {
 		stop()
 		c.Close()
@@ -202,14 +204,55 @@
 	r.conn.Close()
 }
 
-// ReadAll reads the body, which may have at most limit bytes.
-func (r *Response) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+// firstReadBytes is the size of the first buffer for a body, which holds most bodies.
+const firstReadBytes = 4 << 10
+
+// ReadAll reads the body, which may have at most limit bytes. The lease pays for the buffer;
+// it keeps what the returned body uses.
+func (r *Response) ReadAll(limit int64, memory *membudget.Lease) ([]byte, error) {
+	largest := limit + 1
+	if r.ContentLength >= 0 {
+		// The last byte is for the read that returns io.EOF.
+		largest = min(largest, r.ContentLength+1)
+	}
+	var body []byte
+	fail := func(err error) ([]byte, error) {
+		memory.Shrink(int64(cap(body)))
+		return nil, eris.Wrap(err, "read the answer's body")
+	}
+	for {
+		if len(body) == cap(body) {
+			size := min(max(2*int64(cap(body)), firstReadBytes), largest)
+			if size == int64(cap(body)) {
+				return fail(eris.Errorf("the response is larger than %d bytes", limit))
+			}
+			if err := memory.Grow(size - int64(cap(body))); err != nil {
+				return fail(err)
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := r.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if int64(len(body)) > limit {
+			return fail(eris.Errorf("the response is larger than %d bytes", limit))
+		}
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return fail(err)
+		}
+	}
+}
+
+// Discard reads the body to its end without keeping it. It may have at most limit bytes.
+func (r *Response) Discard(limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, limit+1))
 	if err != nil {
-		return body, eris.Wrap(err, "read the answer's body")
+		return eris.Wrap(err, "read the answer's body")
 	}
-	if int64(len(body)) > limit {
-		return nil, eris.Errorf("the response is larger than %d bytes", limit)
+	if n > limit {
+		return eris.Errorf("the response is larger than %d bytes", limit)
 	}
-	return body, nil
+	return nil
 }
--- a/pkg/upstream/endless_test.go
+++ b/pkg/upstream/endless_test.go
@@ -102,7 +102,7 @@
 			p := NewPool(DefaultSettings())
 			resp, _ := send(t, p, address)
 			began := time.Now()
-			_, err := resp.ReadAll(1 << 20)
+			_, err := resp.ReadAll(1<<20, noLimit.NewLease())
 			require.Error(t, err)
 			resp.Abandon()
 			assert.Less(t, time.Since(began), 5*time.Second)
@@ -131,7 +131,7 @@
 		if err != nil {
 			return
 		}
-		if body, err := resp.ReadAll(1 << 20); err == nil {
+		if body, err := resp.ReadAll(1<<20, noLimit.NewLease()); err == nil {
 			assert.LessOrEqual(t, len(body), len(response))
 		}
 		resp.Abandon()
--- a/pkg/upstream/fuzz_test.go
+++ b/pkg/upstream/fuzz_test.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil
 	}
-	body, err := resp.ReadAll(1 << 20)
+	body, err := resp.ReadAll(1<<20, noLimit.NewLease())
 	if err != nil {
 		return nil
 	}
--- a/pkg/upstream/header.go
+++ b/pkg/upstream/header.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net"
+
+	"github.com/redwingpath/redwingpath/pkg/membudget"
 )
 
 // ErrHeaderTooLong means that the header of a response, including the interim responses
@@ -14,9 +16,31 @@
 // read, since http.ReadResponse reads a header of any length.
 type headerReader struct {
 	raw net.Conn
-	// remaining is the number of bytes that may still be read while limited is set.
-	remaining int
+	// limited is set while a header is read, of which remaining bytes may still come.
 	limited   bool
+	remaining int
+	// free is the part of the header that the lease does not pay for.
+	free   int
+	memory *membudget.Lease
+}
+
+const (
+	// freeHeaderBytes is the part of a header that fits the buffer of its connection.
+	freeHeaderBytes = readBufferBytes
+	// headerCopies is the memory that http.ReadResponse uses for a byte of a header.
+	headerCopies = 3
+)
+
+// begin starts a header.
+func (r *headerReader) begin(s Settings) {
+	r.limited, r.remaining, r.free = true, s.MaxHeaderBytes, freeHeaderBytes
+	r.memory = s.Memory.NewLease()
+}
+
+// end ends the header.
+func (r *headerReader) end() {
+	r.limited = false
+	r.memory.Free()
 }
 
 // Read implements io.Reader.
@@ -29,6 +53,11 @@
 	}
 	n, err := r.raw.Read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
+	paid := max(0, n-r.free)
+	r.free -= n - paid
+	if growErr := r.memory.Grow(int64(headerCopies * paid)); growErr != nil {
+		return 0, growErr
+	}
 	return n, err
 }
 
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/redwingpath/redwingpath/pkg/membudget"
 )
 
 // Settings are the limits of connections to backend servers.
@@ -36,6 +38,8 @@
 	// MaxHeaderBytes bounds the header of a response, including the interim responses
 	// before it. Unit: bytes. Default: 64 KiB, four times what callers may send.
 	MaxHeaderBytes int
+	// Memory pays for headers beyond their usual size. It may be nil.
+	Memory *membudget.Budget
 	// MaxIdleConnsPerAddress bounds the idle connections to one address. Default: 32.
 	MaxIdleConnsPerAddress int
 }
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -12,10 +12,15 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/redwingpath/redwingpath/pkg/membudget"
 )
 
 // startBackend starts a server that sends the next of its responses for each request.
 // An empty response closes the connection.
+// noLimit gives leases without a limit.
+var noLimit *membudget.Budget
+
 func startBackend(t *testing.T, responses ...string) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -76,7 +81,7 @@
 
 func readAndRelease(t *testing.T, r *Response) {
 	t.Helper()
-	body, err := r.ReadAll(100)
+	body, err := r.ReadAll(100, noLimit.NewLease())
 	require.NoError(t, err)
 	require.Equal(t, "hi", string(body))
 	r.Release()
@@ -146,7 +151,7 @@
 	resp, _, err := conn.Send(t.Context(), newRequest(t, address))
 	require.NoError(t, err)
 	go func() { time.Sleep(20 * time.Millisecond); conn.Close() }()
-	_, err = resp.ReadAll(100)
+	_, err = resp.ReadAll(100, noLimit.NewLease())
 	assert.Error(t, err)
 }
 
