--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -195,6 +197,49 @@
 	return min(max(engineUrgency, 0), lowestUrgency)
 }
 
+// pieceBytes is the size of the buffers in which a body of unknown length is collected.
+const pieceBytes = 16 << 10
+
+// collectBody reads the body, and one byte more than the limit of a longer one. The lease
+// pays for it.
+func (c *call) collectBody(limit int64) ([]byte, error) {
+	reader := io.LimitReader(c.r.Body, limit+1)
+	if size := c.r.ContentLength; size >= 0 {
+		if err := c.requestMemory.Grow(size); err != nil {
+			return nil, err
+		}
+		body := make([]byte, size)
+		_, err := io.ReadFull(reader, body)
+		return body, err
+	}
+	var pieces [][]byte
+	size := 0
+	for {
+		if last := len(pieces) - 1; last < 0 || len(pieces[last]) == pieceBytes {
+			if err := c.requestMemory.Grow(pieceBytes); err != nil {
+				return nil, err
+			}
+			pieces = append(pieces, make([]byte, 0, pieceBytes))
+		}
+		last := len(pieces) - 1
+		n, err := reader.Read(pieces[last][len(pieces[last]):pieceBytes])
+		pieces[last] = pieces[last][:len(pieces[last])+n]
+		size += n
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	if err := c.requestMemory.Grow(int64(size)); err != nil {
+		return nil, err
+	}
+	body := slices.Concat(pieces...)
+	c.requestMemory.Shrink(int64(len(pieces) * pieceBytes))
+	return body, nil
+}
+
 func (c *call) readBody() *rejection {
 	limit := c.catalog.Limits.BodyBytes
 	if limit <= 0 {
@@ -207,24 +252,14 @@
 		return nil
 	}
 	defer c.stopReadingAtEnd()()
-	size := max(c.r.ContentLength, 0)
-	body := make([]byte, 0, size+1)
-	reader := io.LimitReader(c.r.Body, limit+1)
-	for {
-		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
-		}
-		n, err := reader.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if err == io.EOF {
-			break
-		}
-		if err != nil && c.g.ending.Err() != nil {
-			return c.stopped()
-		}
-		if err != nil {
-			return &rejection{status: http.StatusBadRequest, reason: "the body could not be read"}
-		}
+	body, err := c.collectBody(limit)
+	switch {
+	case errors.Is(err, membudget.ErrExhausted):
+		return &rejection{status: http.StatusServiceUnavailable, retryAfter: time.Second, reason: "the host has no memory for the body"}
+	case err != nil && c.g.ending.Err() != nil:
+		return c.stopped()
+	case err != nil:
+		return &rejection{status: http.StatusBadRequest, reason: "the body could not be read"}
 	}
 	if int64(len(body)) > limit {
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
--- a/pkg/membudget/membudget.go
+++ b/pkg/membudget/membudget.go
@@ -68,6 +68,17 @@
 	return nil
 }
 
+// GrowBuffer returns a copy of a buffer that the lease pays for, with a larger capacity. The
+// old buffer is paid for until it is copied.
+func (l *Lease) GrowBuffer(buf []byte, capacity int64) ([]byte, error) {
+	if err := l.Grow(capacity); err != nil {
+		return nil, err
+	}
+	grown := append(make([]byte, 0, capacity), buf...)
+	l.Shrink(int64(cap(buf)))
+	return grown, nil
+}
+
 // Shrink returns bytes to the budget.
 func (l *Lease) Shrink(n int64) {
 	n = min(n, l.held)
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -226,10 +226,11 @@
 			if size == int64(cap(body)) {
 				return fail(eris.Errorf("the response is larger than %d bytes", limit))
 			}
-			if err := memory.Grow(size - int64(cap(body))); err != nil {
+			grown, err := memory.GrowBuffer(body, size)
+			if err != nil {
 				return fail(err)
 			}
-			body = append(make([]byte, 0, size), body...)
+			body = grown
 		}
 		n, err := r.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
