Play notices, removals beside restarts and endless bodies in the soak

Servers state that they leave, refuse with Retry-After, lose their entry while a host is killed, or send bodies without end; each is replaced where it leaves. New checks: requests that reach a server after 2 s, more than two requests in a pause, calls of the duties with a lower fencing token. Responses without a framing now count as complete in the check, which is stricter: all of the host's have one.

--- a/integration/platformsoak/checks.go
+++ b/integration/platformsoak/checks.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -39,10 +40,12 @@
 	revokedAt, old := r.revoked[key]
 	r.mu.Unlock()
 	sent := time.Now()
-	status, body, err := request(ctx, transport, p, id, path, key)
+	barred := r.barredServers(p, sent)
+	status, header, body, err := request(ctx, transport, p, id, path, key)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.result.Requests++
+	r.noteLeaving(p, header, time.Now())
 	want := "answer"
 	if strings.HasPrefix(path, "/say") {
 		want = completeStream
@@ -57,15 +60,15 @@
 			r.result.Violations = append(r.result.Violations, fmt.Sprintf("%s was served for a key revoked %v before", id, sent.Sub(revokedAt)))
 		}
 	}
-	r.responses[id] = response{path, status, complete}
+	r.responses[id] = response{path: path, status: status, complete: complete, host: p, sentAt: sent, barred: barred}
 }
 
-func request(ctx context.Context, transport *http.Transport, p *process, id, path, key string) (int, string, error) {
+func request(ctx context.Context, transport *http.Transport, p *process, id, path, key string) (int, http.Header, string, error) {
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.callers+path, strings.NewReader("body"))
 	if err != nil {
-		return 0, "", err
+		return 0, nil, "", err
 	}
 	// Without GetBody the transport cannot resend the request on its own.
 	req.GetBody = nil
@@ -75,15 +78,11 @@
 	req.Header.Set("Deadline-Ms", "2000")
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return 0, "", err
+		return 0, nil, "", err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	if err == nil && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		// A body that ends with the connection does not claim to be complete.
-		err = io.ErrUnexpectedEOF
-	}
-	return resp.StatusCode, string(body), err
+	return resp.StatusCode, resp.Header, string(body), err
 }
 
 // notRunStatuses are the response statuses that promise that a request has not run.
@@ -140,7 +139,7 @@
 		transport := &http.Transport{DisableKeepAlives: true}
 		ok := 0
 		for i := range 10 {
-			status, _, _ := request(context.Background(), transport, p, fmt.Sprintf("%s-%d", p.name, i), "/look/x", r.keys[0])
+			status, _, _, _ := request(context.Background(), transport, p, fmt.Sprintf("%s-%d", p.name, i), "/look/x", r.keys[0])
 			if status == http.StatusOK {
 				ok++
 			}
@@ -149,15 +148,18 @@
 			r.addViolation("%s served %d of 10 requests after the faults", p.name, ok)
 		}
 		for key := range r.revoked {
-			if status, _, _ := request(context.Background(), transport, p, "revoked", "/look/x", key); status != http.StatusUnauthorized {
+			if status, _, _, _ := request(context.Background(), transport, p, "revoked", "/look/x", key); status != http.StatusUnauthorized {
 				r.addViolation("%s responds with status %d to a revoked key", p.name, status)
 			}
 		}
 	}
 }
 
-// checkReports checks that all reports of a usage window have the same counts, and
-// that each fencing token belongs to one holder.
+// thawTime is the time after a freeze of a host in which a call that it had begun may arrive.
+const thawTime = 300 * time.Millisecond
+
+// checkReports checks that all reports of a usage window have the same counts, and that
+// each fencing token belongs to one holder, which makes no call after its successor.
 func (r *run) checkReports() {
 	countsByWindow := map[int64]string{}
 	holderByToken := map[uint64]string{}
@@ -175,4 +177,12 @@
 	if len(countsByWindow) == 0 {
 		r.addViolation("no usage window was reported")
 	}
+	for _, late := range r.api.LateCalls() {
+		thawed := slices.ContainsFunc(r.hosts, func(p *process) bool {
+			return p.name == late.Holder && anyBetween(p.faultsAt, late.At.Add(-thawTime), late.At)
+		})
+		if !thawed {
+			r.addViolation("%s acted with the fencing token %d beside its successor", late.Holder, late.Fence)
+		}
+	}
 }
--- a/integration/platformsoak/faults.go
+++ b/integration/platformsoak/faults.go
@@ -25,7 +25,9 @@
 
 // backendServer returns a random backend server.
 func (r *run) backendServer() *backendServer {
-	return r.backendServers[r.random.IntN(len(r.backendServers))]
+	b := r.backendServers[r.random.IntN(len(r.backendServers))]
+	b.disturbedAt = append(b.disturbedAt, time.Now())
+	return b
 }
 
 // randomDuration returns a random duration from least up to, but not including, most.
@@ -44,9 +46,11 @@
 	r.mu.Lock()
 	p.settledAt = time.Now().Add(settleTime)
 	r.mu.Unlock()
-	switch r.random.IntN(15) {
+	switch r.random.IntN(18) {
 	case 0:
 		r.restart(p, syscall.SIGKILL)
+	case 15, 16, 17:
+		r.injectNotice(p)
 	case 1:
 		r.restart(p, syscall.SIGTERM)
 	case 2:
@@ -93,6 +97,8 @@
 
 // restart ends a host with a signal and starts it again after a random delay.
 func (r *run) restart(p *process, signal syscall.Signal) {
+	r.forgetNotices(p)
+	defer r.forgetNotices(p)
 	p.signalAndWait(signal)
 	time.Sleep(r.randomDuration(0, time.Second))
 	if err := r.launch(p); err != nil {
@@ -105,6 +111,8 @@
 	if p.cmd == nil {
 		return
 	}
+	r.forgetNotices(p)
+	defer r.forgetNotices(p)
 	_ = p.cmd.Process.Signal(syscall.SIGSTOP)
 	time.Sleep(d)
 	_ = p.cmd.Process.Signal(syscall.SIGCONT)
--- a/integration/platformsoak/soak.go
+++ b/integration/platformsoak/soak.go
@@ -64,6 +64,10 @@
 	keys      []string
 	revoked   map[string]time.Time
 	attempts  int
+	// saidLeaving is when a host first passed on a response in which a server stated that it
+	// is leaving, removedAt when a server's entry was removed.
+	saidLeaving map[hostServer]time.Time
+	removedAt   map[string]time.Time
 }
 
 // response is the response that a caller got to one attempt.
@@ -71,6 +75,10 @@
 	path     string
 	status   int
 	complete bool
+	host     *process
+	sentAt   time.Time
+	// barred are the servers at which the host must not have the attempt run.
+	barred []string
 }
 
 type process struct {
@@ -81,11 +89,15 @@
 	log                         *os.File
 	// settledAt is settleTime after the start of the last fault of this host.
 	settledAt time.Time
+	// faultsAt are the starts of this host's faults.
+	faultsAt []time.Time
 }
 
 type backendServer struct {
 	*platformtest.BackendServer
 	proxy *proxy
+	// disturbedAt are the starts of the faults of the server and its connections.
+	disturbedAt []time.Time
 }
 
 // Run injects faults until the duration has passed or ctx is done, and then checks.
@@ -93,6 +105,7 @@
 	r := &run{
 		config: c, random: rand.New(rand.NewPCG(c.Seed, 77)), store: platformtest.NewStore(),
 		responses: map[string]response{}, keys: []string{"k0", "k1"}, revoked: map[string]time.Time{},
+		saidLeaving: map[hostServer]time.Time{}, removedAt: map[string]time.Time{},
 	}
 	defer r.stop()
 	if err := r.start(); err != nil {
@@ -111,6 +124,7 @@
 	stopLoad()
 	callers.Wait()
 	r.checkRuns()
+	r.checkNotices()
 	r.checkReports()
 	return r.result, nil
 }
@@ -176,7 +190,7 @@
 	}
 	server.SetOnCrash(func() { p.crash(crashDownTime) })
 	server.SetCrashingParts(crashDownTime, crashingPart)
-	b := &backendServer{server, p}
+	b := &backendServer{BackendServer: server, proxy: p}
 	r.backendServers = append(r.backendServers, b)
 	r.register(b, "ready")
 	return nil
--- a/integration/platformsoak/soak_test.go
+++ b/integration/platformsoak/soak_test.go
@@ -16,6 +16,8 @@
 	// The log of the duties dropped its history and with it the fixed counts of a usage
 	// window, and the next holder reported different counts.
 	1,
+	// Servers that had stated that they leave were sent requests.
+	9202,
 }
 
 func TestPromisesHoldUnderRandomFaults(t *testing.T) {
