Take a response that the host gives up for no crash of its server

A response that does not fit the memory for responses counted as a broken connection, so that its request, or parts of its prompt, could be held for crashes of a sound server. Found by reading the change. TestResponseThatTheHostGivesUpIsNoCrash fails without the change. A pause of a server is logged once instead of with each refusal.

--- a/pkg/duty/duty.go
+++ b/pkg/duty/duty.go
@@ -86,8 +86,8 @@
 
 func usageKey(window int64) string { return string(KindUsage) + "/" + strconv.FormatInt(window, 10) }
 
-// Timing of claims. A dead holder is replaced within 5 s, half of the
-// time in which a usage report is due.
+// Timing of claims. A dead holder is replaced within 5 s, half of the time in which a usage
+// report is due.
 const (
 	// holderTimeout is how long the holder must have been silent before another host
 	// considers a claim. A silence alone replaces nobody: the holder may still write.
@@ -128,8 +128,8 @@
 	Log         Log
 	// Rank returns the number of hosts that claim before this one. It may be nil.
 	Rank func() int
-	// Elapsed returns the time of a steady clock that includes suspension of the host, by
-	// which leases end.
+	// Elapsed returns the time of a monotonic clock that includes suspension of the host.
+	// Leases end by it.
 	Elapsed func() time.Duration
 	Logger  *zap.Logger
 
--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/redwingpath/redwingpath/pkg/membudget"
 	"github.com/redwingpath/redwingpath/pkg/placement"
 	"github.com/redwingpath/redwingpath/pkg/upstream"
 )
@@ -45,6 +47,18 @@
 	}
 }
 
+// errNoMemory means that the host gave up a response, since all requests together hold too
+// many bytes of responses.
+var errNoMemory = errors.New("the host has no memory for the answer")
+
+// readError classifies a failed read of a response.
+func readError(err error) error {
+	if errors.Is(err, membudget.ErrExhausted) {
+		return errNoMemory
+	}
+	return eris.Wrap(errInterrupted, err.Error())
+}
+
 // errEndedWithServer means that a body without a framing ended because its server did.
 var errEndedWithServer = eris.Wrap(errInterrupted, "the server has ended with its connection")
 
@@ -54,7 +68,7 @@
 func (c *call) readWhole(ctx context.Context, resp *upstream.Response, b *placement.Backend) ([]byte, error) {
 	body, err := resp.ReadAll(c.g.settings.ResponseBytes, c.responseMemory)
 	if err != nil {
-		return nil, eris.Wrap(errInterrupted, err.Error())
+		return nil, readError(err)
 	}
 	if !resp.Framed() && c.g.deps.Pool.Refuses(ctx, b.Address) {
 		return nil, errEndedWithServer
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -200,7 +200,7 @@
 
 // cause returns the text of a failure's cause for logs and metrics.
 func cause(err error) string {
-	for _, known := range []error{errNotRun, errOtherRequest, errUnsigned, errStalled, errInterrupted, errServerFailure, errConnect, errLeaving, errPrefill} {
+	for _, known := range []error{errNotRun, errOtherRequest, errUnsigned, errStalled, errInterrupted, errServerFailure, errConnect, errLeaving, errPrefill, errNoMemory} {
 		if errors.Is(err, known) {
 			return known.Error()
 		}
--- a/pkg/gateway/endless_sum_test.go
+++ b/pkg/gateway/endless_sum_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/stretchr/testify/assert"
 
 	"github.com/redwingpath/redwingpath/pkg/membudget"
@@ -106,3 +107,12 @@
 		})
 	}
 }
+
+// Guards against requests and parts of prompts that are held for crashes, since the host gave
+// up responses of sound servers.
+func TestResponseThatTheHostGivesUpIsNoCrash(t *testing.T) {
+	for _, err := range []error{readError(membudget.ErrExhausted), eris.Wrap(membudget.ErrExhausted, "read the answer")} {
+		assert.False(t, brokenConnection(t.Context(), err))
+	}
+	assert.True(t, brokenConnection(t.Context(), readError(io.ErrUnexpectedEOF)))
+}
--- a/pkg/gateway/notices.go
+++ b/pkg/gateway/notices.go
@@ -19,8 +19,7 @@
 	if m.Leaving && g.deps.Fleet.NoteLeaving(b, now) {
 		g.deps.Log.Info("backend server states that it is leaving", zap.String("backend", string(b.ID)))
 	}
-	if m.Pause > 0 {
-		g.deps.Fleet.NotePause(b, m.Pause, now)
+	if m.Pause > 0 && g.deps.Fleet.NotePause(b, m.Pause, now) {
 		g.deps.Log.Info("backend server wants no requests", zap.String("backend", string(b.ID)), zap.Duration("for", m.Pause))
 	}
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/redwingpath/redwingpath/pkg/membudget"
 	"github.com/redwingpath/redwingpath/pkg/placement"
 	"github.com/redwingpath/redwingpath/pkg/upstream"
 )
@@ -159,7 +160,7 @@
 	if err == nil || ctx.Err() != nil {
 		return false
 	}
-	for _, other := range []error{errNotRun, errOtherRequest, errUnsigned, errStalled, errServerFailure, errConnect, errLeaving, errCallerGone, errForwarded} {
+	for _, other := range []error{errNotRun, errOtherRequest, errUnsigned, errStalled, errServerFailure, errConnect, errLeaving, errCallerGone, errForwarded, errNoMemory, membudget.ErrExhausted} {
 		if errors.Is(err, other) {
 			return false
 		}
@@ -253,7 +254,7 @@
 		}
 		if err != nil {
 			resp.Abandon()
-			return attemptError(ctx, eris.Wrap(errInterrupted, err.Error()))
+			return attemptError(ctx, readError(err))
 		}
 	}
 }
--- a/pkg/placement/notices.go
+++ b/pkg/placement/notices.go
@@ -70,19 +70,22 @@
 	return true
 }
 
-// NotePause records that a server wants no requests for a time.
-func (f *Fleet) NotePause(b *Backend, pause time.Duration, now time.Time) {
+// NotePause records that a server wants no requests for a time. It reports whether the
+// server wanted some until now.
+func (f *Fleet) NotePause(b *Backend, pause time.Duration, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	until := now.Add(min(pause, maxPause))
 	n := f.noticeOf(b, now)
+	begins := !now.Before(n.pausedUntil)
 	if !until.After(n.pausedUntil) {
-		return
+		return begins
 	}
 	n.pausedUntil = until
 	if s := f.servers[b.ID]; s != nil {
 		f.heedNotice(s)
 	}
+	return begins
 }
 
 // heedNotice applies what a server has stated about itself. The caller holds f.mu.
