Pass on resets in the soak's proxy

Traced: the proxy ended the host's connection in good order where the server had reset its own, so that the host got a body which the users' pages call whole.

--- a/integration/platformsoak/proxy.go
+++ b/integration/platformsoak/proxy.go
@@ -1,6 +1,8 @@
 package platformsoak
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -78,6 +80,10 @@
 	for {
 		n, err := from.Read(buffer)
 		if err != nil {
+			if tcp, ok := to.(*net.TCPConn); ok && !errors.Is(err, io.EOF) {
+				// A reset reaches the other side as one.
+				_ = tcp.SetLinger(0)
+			}
 			return
 		}
 		p.mu.Lock()
