Give no call of the duties a term without an end

The product had a constructor of endless terms that only tests used, and a zero term that could act for a minute.

--- a/pkg/duty/lease.go
+++ b/pkg/duty/lease.go
@@ -6,20 +6,14 @@
 type Term struct {
 	Holder string
 	Fence  uint64
-	// remaining is nil in terms without an end.
+	// remaining is set by Elector.Term.
 	remaining func() time.Duration
 }
 
-// EndlessTerm returns a term that does not end by itself, for calls outside an election.
-func EndlessTerm(holder string, fence uint64) Term { return Term{Holder: holder, Fence: fence} }
-
-// maxRemaining bounds Remaining. It is longer than any call of the duties.
-const maxRemaining = time.Minute
-
 // Remaining returns how long the host may still act, 0 if it may not.
 func (t Term) Remaining() time.Duration {
 	if t.remaining == nil {
-		return maxRemaining
+		return 0
 	}
 	return t.remaining()
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -451,7 +451,8 @@
 	}()
 }
 
-// sendAndDiscard sends a request and discards the response.
+// sendAndDiscard sends a request of the host's own and discards the response. A server that
+// wants no requests is sent none.
 func (g *Gateway) sendAndDiscard(ctx context.Context, b *placement.Backend, req *http.Request) error {
 	conn, err := g.deps.Pool.Get(ctx, b.Address, false)
 	if err != nil {
@@ -465,8 +466,9 @@
 	if err != nil {
 		return err
 	}
-	if metadata := g.deps.Dialect.ResponseMetadata(resp.StatusCode, resp.Header); resp.FirstOnConnection() {
-		g.heedNotices(b, metadata)
+	// The request has no id, so that only the first response on a connection is surely its own.
+	if resp.FirstOnConnection() {
+		g.heedNotices(b, g.deps.Dialect.ResponseMetadata(resp.StatusCode, resp.Header))
 	}
 	if err := resp.Discard(g.settings.ResponseBytes); err != nil {
 		resp.Abandon()
--- a/pkg/mirror/table.go
+++ b/pkg/mirror/table.go
@@ -160,7 +160,8 @@
 
 // Snapshot replaces the table with the newest records of all keys, as of the offset end,
 // and returns the records that made a significant change. Keys that the snapshot lacks
-// are removed, unless the snapshot is older than the table.
+// are removed, unless the snapshot is older than the table; such a late snapshot does not
+// return keys that were removed before an earlier one either.
 func (t *Table) Snapshot(records []Record, end uint64, now time.Time) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
