Check in the soak that each response has a framing

The check of the soak took a response that ends with its connection for a complete one, but found a missing framing only where the body was cut. It is a violation by itself now.

--- a/integration/platformsoak/checks.go
+++ b/integration/platformsoak/checks.go
@@ -53,6 +53,9 @@
 	complete := err == nil && body == want
 	if status == http.StatusOK {
 		r.result.Served++
+		if err == nil && header.Get(headerUnframed) != "" {
+			r.result.Violations = append(r.result.Violations, fmt.Sprintf("%s got a response without a length or chunks, which the end of the host would complete", id))
+		}
 		if err == nil && !complete {
 			r.result.Violations = append(r.result.Violations, fmt.Sprintf("%s got a wrong or truncated body as a complete response: %q", id, body))
 		}
@@ -63,6 +66,9 @@
 	r.responses[id] = response{path: path, status: status, complete: complete, host: p, sentAt: sent, barred: barred}
 }
 
+// headerUnframed marks a response without a length or chunks for the checks.
+const headerUnframed = "Soak-Unframed"
+
 func request(ctx context.Context, transport *http.Transport, p *process, id, path, key string) (int, http.Header, string, error) {
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
@@ -82,6 +88,9 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		resp.Header.Set(headerUnframed, "1")
+	}
 	return resp.StatusCode, resp.Header, string(body), err
 }
 
