Give collected responses of the own edge a length

Test: TestServiceResponseForHTTP10HasALength fails before; it passes with the other tests of service responses and idempotency in pkg/entry.

--- a/pkg/entry/service.go
+++ b/pkg/entry/service.go
@@ -167,6 +167,8 @@
 		if err := h.readRemainder(r); err != nil {
 			panic(http.ErrAbortHandler)
 		}
+	}
+	if r.length < 0 && r.remainder == nil {
 		header.Set("Content-Length", strconv.Itoa(len(r.buffered)))
 	}
 	out := &deadlineWriter{c: c, timeout: h.settings.WriteTimeout}
--- a/pkg/entry/service_test.go
+++ b/pkg/entry/service_test.go
@@ -1,11 +1,15 @@
 package entry
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -365,3 +369,37 @@
 		require.True(t, err != nil || resp.StatusCode >= 500, path)
 	}
 }
+
+// Guards against a body without a length for a caller that knows no chunks: the end of the
+// host would look like its end.
+func TestServiceResponseForHTTP10HasALength(t *testing.T) {
+	for _, unframed := range []bool{true, false} {
+		h := newTestHost(t, nil)
+		s := newTestService(t)
+		s.onCall = func(w http.ResponseWriter, _ *http.Request, _ int) bool {
+			if unframed {
+				w.Header().Set("Transfer-Encoding", "identity")
+			}
+			_, _ = io.WriteString(w, "part")
+			_ = http.NewResponseController(w).Flush()
+			return true
+		}
+		h.router.add(model.PoolService, "p1", s.URL)
+		for _, path := range []string{"/stock/1", "/orders/1"} {
+			req := h.request("POST", path, "{}")
+			conn, err := net.Dial("tcp", req.URL.Host)
+			require.NoError(t, err)
+			var raw bytes.Buffer
+			require.NoError(t, req.Write(&raw))
+			_, err = io.WriteString(conn, strings.Replace(raw.String(), "HTTP/1.1", "HTTP/1.0", 1))
+			require.NoError(t, err)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			body, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.Equal(t, "part", string(body))
+			require.EqualValues(t, 4, resp.ContentLength, path)
+			require.NoError(t, conn.Close())
+		}
+	}
+}
