Decode cold starts, evacuation bounds and unmetered configurations

Cause: the configuration and the registrations state how long servers are cold and what they tolerate, and the settings bound it; nothing read them.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -4,6 +4,7 @@
 package catalog
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -122,8 +123,13 @@
 	HealthPath string
 	// MaxConns is the maximum number of connections to a backend server from all hosts.
 	MaxConns int
-	Engine   *Engine
-	Scaling  *Scaling
+	// ColdTime is how long a backend server is cold after its start, 0 if it is never cold.
+	ColdTime time.Duration
+	// ColdPerSecond is the rate that a cold server tolerates, 0 for no bound. Unit: requests
+	// per second.
+	ColdPerSecond float64
+	Engine        *Engine
+	Scaling       *Scaling
 }
 
 // Organisation is a customer with its keys and quota.
@@ -215,5 +221,12 @@
 // Service returns a service, or nil.
 func (c *Catalog) Service(name model.PoolName) *Service { return c.services[name] }
 
+// Unmetered reports whether there are organisations and none of them has a quota, so that
+// nothing but the hosts bounds the load on engines.
+func (c *Catalog) Unmetered() bool {
+	return len(c.Organisations) > 0 &&
+		!slices.ContainsFunc(c.Organisations, func(o Organisation) bool { return o.Rate > 0 })
+}
+
 // Organisation returns an organisation, or nil.
 func (c *Catalog) Organisation(id model.OrganisationID) *Organisation { return c.organisations[id] }
--- a/pkg/edgehost/configuration.go
+++ b/pkg/edgehost/configuration.go
@@ -55,13 +55,18 @@
 }
 
 // sameRegistration reports whether two registrations of a backend server are equal apart
-// from their heartbeats. Two unusable ones are equal, since both name no server.
+// from their heartbeats, each of which states a shorter cold time. Two unusable ones are
+// equal, since both name no server.
 func (h *Host) sameRegistration(id string, old, new []byte) bool {
 	a, errA := h.platform.Backend(id, old)
 	b, errB := h.platform.Backend(id, new)
 	if errA != nil || errB != nil {
 		return errA != nil && errB != nil
 	}
+	bothCold := a.ColdFor > 0 && b.ColdFor > 0
+	if bothCold {
+		a.ColdFor, b.ColdFor = 0, 0
+	}
 	return a == b
 }
 
@@ -136,7 +141,7 @@
 	}
 	h.log.Info("configuration in force", zap.Uint64("version", config.Version), zap.Uint64("offset", record.Offset),
 		zap.Int("routes", len(config.Routes)), zap.Int("organisations", len(config.Organisations)), zap.Int("keys", keys))
-	h.registry.refreshEngineTraits()
+	h.registry.refreshTraits()
 }
 
 // denialMargin is the part of the bound on configurations that is left for the time between
--- a/pkg/edgehost/host.go
+++ b/pkg/edgehost/host.go
@@ -127,6 +127,7 @@
 	h.usage = usagewindow.New(s.UsageWindow, h.clock.Now)
 	placementSettings := placement.DefaultSettings()
 	placementSettings.DataCentre = s.DataCentre
+	placementSettings.ColdOvershoot, placementSettings.ColdSlack = s.ColdOvershoot, s.ColdSlack
 	h.fleet = placement.NewFleet(placementSettings)
 	h.registry = &registry{
 		platform: p, fleet: h.fleet, catalog: h.catalog.Load,
--- a/pkg/edgehost/platform.go
+++ b/pkg/edgehost/platform.go
@@ -36,6 +36,8 @@
 	Born int64
 	// LeavesIn is the time until a reclaimed server is terminated, 0 if unknown.
 	LeavesIn time.Duration
+	// ColdFor is how much longer the server stays cold, 0 if it is warm.
+	ColdFor time.Duration
 }
 
 // ScaleOrder sets the number of a service's backend servers in a data centre.
--- a/pkg/edgehost/registry.go
+++ b/pkg/edgehost/registry.go
@@ -85,12 +85,12 @@
 			r.remove(record.Key, "its entry is not usable")
 			continue
 		}
-		r.update(record.Key, registration)
+		r.update(record.Key, registration, now)
 	}
 }
 
 // update applies a registration, which may be of a new incarnation.
-func (r *registry) update(key string, n Registration) {
+func (r *registry) update(key string, n Registration, now time.Time) {
 	old := r.entries[key]
 	n.Incarnation = n.Born
 	if old != nil && old.Born == n.Born && old.Leaving && old.Service == n.Service {
@@ -116,17 +116,24 @@
 	case old.Stage != n.Stage:
 		r.log.Info("backend server changed its stage", zap.String("backend", key), zap.Stringer("stage", n.Stage))
 	}
-	r.fleet.Update(r.withEngineTraits(n.Backend))
+	r.fleet.Update(r.withTraits(n.Backend))
+	r.fleet.NoteCold(n.ID, n.Incarnation, now.Add(n.ColdFor), now)
 }
 
-// withEngineTraits adds the engine traits that the configuration has for the service.
-func (r *registry) withEngineTraits(b placement.Backend) placement.Backend {
+// withTraits adds the traits that the configuration has for servers of the service.
+func (r *registry) withTraits(b placement.Backend) placement.Backend {
 	c := r.catalog()
 	if c == nil {
 		return b
 	}
 	service := c.Service(b.Service)
-	if service == nil || service.Engine == nil {
+	if service == nil {
+		return b
+	}
+	if findPace := service.ColdTime > 0 || c.Unmetered(); findPace || service.ColdPerSecond > 0 {
+		b.Start = &placement.StartTraits{ColdPerSecond: service.ColdPerSecond, FindPace: findPace}
+	}
+	if service.Engine == nil {
 		return b
 	}
 	e := service.Engine
@@ -139,12 +146,12 @@
 	return b
 }
 
-// refreshEngineTraits applies the configuration in force to the known servers.
-func (r *registry) refreshEngineTraits() {
+// refreshTraits applies the configuration in force to the known servers.
+func (r *registry) refreshTraits() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, e := range r.entries {
-		r.fleet.Update(r.withEngineTraits(e.Backend))
+		r.fleet.Update(r.withTraits(e.Backend))
 	}
 }
 
--- a/pkg/edgehost/settings.go
+++ b/pkg/edgehost/settings.go
@@ -38,6 +38,13 @@
 	// ConfigurationBound is how long after its acknowledgement by the store a configuration
 	// may take to be in force at all hosts. Unit: duration. Default: 2s.
 	ConfigurationBound time.Duration
+	// ColdOvershoot and ColdSlack bound the requests that all hosts together send a cold
+	// backend server in any second: the factor times the rate that it tolerates, plus the
+	// slack. Defaults: 1, 0.
+	ColdOvershoot, ColdSlack float64
+	// EvacuationBound is how long after its acknowledgement by the store the evacuation of a
+	// data centre may take to be in force at all hosts. Unit: duration. Default: 5s.
+	EvacuationBound time.Duration
 	// Lease is the platform's lease of a duty. Unit: duration. Default: 3s.
 	Lease time.Duration
 	// Grace is the grace period of a stop, from SIGTERM to SIGKILL. Unit: duration.
@@ -71,6 +78,8 @@
 	return &Settings{
 		DrainTime:            2 * time.Second,
 		ConfigurationBound:   2 * time.Second,
+		ColdOvershoot:        1,
+		EvacuationBound:      5 * time.Second,
 		Lease:                3 * time.Second,
 		Grace:                8 * time.Second,
 		RetryRatio:           0.2,
--- a/pkg/placement/fleet.go
+++ b/pkg/placement/fleet.go
@@ -23,6 +23,8 @@
 	notices map[life]*notice
 	// limits are the limits that servers have stated.
 	limits map[life]*statedLimit
+	// evacuated are the data centres whose servers get no requests.
+	evacuated []model.DataCentreID
 	// self is the name of this host, hosts are those of all that may be sending requests.
 	self  string
 	hosts []string
@@ -68,6 +70,8 @@
 	switching bool
 	// pausedUntil is the time until which the server wants no requests.
 	pausedUntil time.Time
+	// coldUntil is the time until which the server is cold.
+	coldUntil time.Time
 	// turns is this host's part of the server's limit, nil if it has none.
 	turns *turns
 }
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -49,6 +49,18 @@
 	Leaving bool
 	// Engine is nil for plain services.
 	Engine *EngineTraits
+	// Start is nil for servers that are sent requests at any rate from their start on.
+	Start *StartTraits
+}
+
+// StartTraits describes how a server that has started or recovered may be used.
+type StartTraits struct {
+	// ColdPerSecond is the rate that the server tolerates while it is cold, 0 for no bound.
+	// Unit: requests per second.
+	ColdPerSecond float64
+	// FindPace is set if hosts find from the server's answers how fast its share of the
+	// requests may grow.
+	FindPace bool
 }
 
 // EngineTraits describes an engine.
@@ -169,6 +181,9 @@
 	// PreferenceReach is the number of hosts between this host and an engine, on the ring of
 	// updatePreferences, from which Preference applies in full. Default: 4.
 	PreferenceReach float64
+	// ColdOvershoot and ColdSlack bound the requests that all hosts together send a cold
+	// server in any second: the factor times its rate plus the slack. Defaults: 1, 0.
+	ColdOvershoot, ColdSlack float64
 }
 
 // DefaultSettings returns the default settings.
@@ -191,5 +206,6 @@
 		Preference:       60 * time.Millisecond,
 		PreferenceReach:  4,
 		PreferenceHosts:  6,
+		ColdOvershoot:    1,
 	}
 }
