Send no requests to servers in evacuated data centres

Cause: nothing read the keys by which an operator evacuates a data centre, so requests went on reaching its servers.

Change: hosts put an evacuation in force as soon as their copy of the configuration's topic has its key, from the store or from a peer. Servers there accept no prefill, run, retry, return or fetch; running requests go on. The planner leaves the data centre out and orders what is missing elsewhere. A log line, a gauge and the state dump show it.

--- a/pkg/edgehost/configuration.go
+++ b/pkg/edgehost/configuration.go
@@ -99,6 +99,7 @@
 func (h *Host) applyRecords(topic string, records []mirror.Record) {
 	switch topic {
 	case TopicConfiguration:
+		h.applyEvacuations()
 		h.applyConfiguration()
 	case TopicBackends:
 		h.registry.noteUpToDate(h.tables[topic].UpToDateAt())
--- a/pkg/edgehost/fleet.go
+++ b/pkg/edgehost/fleet.go
@@ -113,15 +113,16 @@
 		running, _ := h.fleet.RunningAndSlots(service.Name)
 		peak := max(float64(running), peakDecay*h.orderState.peakRunning[service.Name])
 		h.orderState.peakRunning[service.Name] = peak
-		if h.settings.ScaleDuty && service.Scaling != nil {
+		if scaling := service.Scaling; h.settings.ScaleDuty && scaling != nil {
+			scaling = h.withoutEvacuated(scaling)
 			state := fleetplan.State{
 				Engines: engines, Idle: peak < 1, Running: int(peak), Slots: service.Engine.Slots, SpotExhausted: h.orderState.exhaustedDataCentres(now),
 			}
 			if d := h.demand[service.Name]; d != nil {
 				state.BusyEngines, state.DemandKnown = d.BusyEngines(now)
 			}
-			state.MinEngines = h.orderState.sizeController(service.Name).Next(h.policy.Needed(service.Scaling, state), countNotLeaving(engines), h.policy.TotalStep(service.Scaling), now)
-			h.scale(ctx, service, state, term, now)
+			state.MinEngines = h.orderState.sizeController(service.Name).Next(h.policy.Needed(scaling, state), countNotLeaving(engines), h.policy.TotalStep(scaling), now)
+			h.scale(ctx, service.Name, scaling, state, term, now)
 		}
 		for _, change := range h.policy.PlanStages(engines, service.Engine.Slots, int(peak)) {
 			h.orderStage(ctx, service, change, term, now)
@@ -133,7 +134,7 @@
 func (h *Host) engines(service model.PoolName, now time.Time) []fleetplan.Engine {
 	var list []fleetplan.Engine
 	for _, b := range h.fleet.List() {
-		if b.Service != service {
+		if b.Service != service || h.isEvacuated(b.DataCentre) {
 			continue
 		}
 		e := fleetplan.Engine{
@@ -183,9 +184,9 @@
 
 // scale orders backend servers wherever the number that the policy wants differs from the
 // present or the last ordered one.
-func (h *Host) scale(ctx context.Context, service *catalog.Service, state fleetplan.State, term duty.Term, now time.Time) {
-	for _, t := range h.policy.Scale(service.Scaling, state) {
-		key := scaleKey{service.Name, t.DataCentre, t.Spot}
+func (h *Host) scale(ctx context.Context, service model.PoolName, scaling *catalog.Scaling, state fleetplan.State, term duty.Term, now time.Time) {
+	for _, t := range h.policy.Scale(scaling, state) {
+		key := scaleKey{service, t.DataCentre, t.Spot}
 		have := 0
 		for _, e := range state.Engines {
 			if e.DataCentre == t.DataCentre && e.Spot == t.Spot && !e.Leaving {
--- a/pkg/edgehost/host.go
+++ b/pkg/edgehost/host.go
@@ -57,8 +57,10 @@
 	successor atomic.Pointer[string]
 	// switching lists the engines that this host has ordered to change their stage.
 	switching atomic.Pointer[[]model.BackendID]
-	// configurationMu serialises applyConfiguration, so that configurations are not
-	// applied out of order.
+	// evacuated are the data centres that are evacuated, ordered by name.
+	evacuated atomic.Pointer[[]model.DataCentreID]
+	// configurationMu serialises applyConfiguration and applyEvacuations, so that records
+	// are not applied out of order.
 	configurationMu sync.Mutex
 	// appliedOffset is the offset after the last record of the configuration that
 	// applyConfiguration has handled.
@@ -119,6 +121,7 @@
 	h.platform = h.calls
 	h.quota = quota.NewLimiter(time.Now(), h.quotaLimits, h.maxLiveHosts, h.settings.QuotaSlack)
 	h.switching.Store(&[]model.BackendID{})
+	h.evacuated.Store(&[]model.DataCentreID{})
 	h.successor.Store(new(string))
 	h.metrics = newHostMetrics(h.gatherer)
 	h.gatherer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/pkg/edgehost/metrics.go
+++ b/pkg/edgehost/metrics.go
@@ -10,6 +10,7 @@
 	messages             prometheus.Gauge
 	usageReports         *prometheus.CounterVec
 	dutyHolder           prometheus.Gauge
+	evacuated            prometheus.Gauge
 }
 
 func newHostMetrics(r prometheus.Registerer) *hostMetrics {
@@ -28,7 +29,9 @@
 			Name: "redwingpath_usage_reports_total", Help: "Usage reports by result."}, []string{"result"}),
 		dutyHolder: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "redwingpath_duty_holder", Help: "Whether this host holds the duties."}),
+		evacuated: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "redwingpath_evacuated_data_centres", Help: "Data centres whose servers get no requests because the operator evacuates them."}),
 	}
-	r.MustRegister(m.configurationVersion, m.storeUp, m.unreadableRecords, m.connections, m.messages, m.usageReports, m.dutyHolder)
+	r.MustRegister(m.configurationVersion, m.storeUp, m.unreadableRecords, m.connections, m.messages, m.usageReports, m.dutyHolder, m.evacuated)
 	return m
 }
--- a/pkg/edgehost/platform.go
+++ b/pkg/edgehost/platform.go
@@ -68,6 +68,9 @@
 	DutyLog() duty.Log
 	// DecodeConfiguration decodes the operator's configuration.
 	DecodeConfiguration(raw []byte) (catalog.Config, error)
+	// EvacuatedDataCentre returns the data centre that the operator evacuates with a key of
+	// TopicConfiguration, and false for other keys.
+	EvacuatedDataCentre(key string) (dc model.DataCentreID, ok bool)
 	// Backend decodes the registration of a backend server.
 	Backend(id string, raw []byte) (Registration, error)
 	// ReportUsage reports a usage window. It fails with ErrConflict if another
--- a/pkg/edgehost/registry_test.go
+++ b/pkg/edgehost/registry_test.go
@@ -38,6 +38,8 @@
 	return nil
 }
 
+func (jsonPlatform) EvacuatedDataCentre(string) (model.DataCentreID, bool) { return "", false }
+
 func (jsonPlatform) Backend(id string, raw []byte) (Registration, error) {
 	var r Registration
 	err := json.Unmarshal(raw, &r)
--- a/pkg/edgehost/run.go
+++ b/pkg/edgehost/run.go
@@ -126,7 +126,7 @@
 	state := map[string]any{
 		"host": h.self, "ready": h.ready(), "stopping": h.stopping.Load(), "members": h.mesh.Live(),
 		"backends": h.fleet.List(), "holder": holder, "fence": fence, "now": h.clock.Now(), "relaying": h.mesh.Relaying(),
-		"prompt_parts": h.gateway.QuarantineState(),
+		"prompt_parts": h.gateway.QuarantineState(), "evacuated": *h.evacuated.Load(),
 	}
 	if c := h.catalog.Load(); c != nil {
 		state["configuration"] = c.Version
--- a/pkg/mirror/table.go
+++ b/pkg/mirror/table.go
@@ -309,6 +309,19 @@
 	return r, ok && !r.Removed()
 }
 
+// Keys returns the keys that have a value, in no particular order.
+func (t *Table) Keys() []string {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var keys []string
+	for key, r := range t.records {
+		if !r.Removed() {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // Trim drops removals that are older than removalTTL.
 func (t *Table) Trim(now time.Time) {
 	t.mu.Lock()
--- a/pkg/placement/fleet.go
+++ b/pkg/placement/fleet.go
@@ -70,6 +70,8 @@
 	switching bool
 	// pausedUntil is the time until which the server wants no requests.
 	pausedUntil time.Time
+	// evacuated is set while the server's data centre is evacuated.
+	evacuated bool
 	// coldUntil is the time until which the server is cold.
 	coldUntil time.Time
 	// turns is this host's part of the server's limit, nil if it has none.
@@ -101,6 +103,7 @@
 	}
 	sameLife := s.ID == b.ID && s.Incarnation == b.Incarnation
 	s.Backend = b
+	f.markEvacuated(s)
 	f.heedNotice(s)
 	if !sameLife {
 		s.turns = nil
--- a/pkg/placement/notices.go
+++ b/pkg/placement/notices.go
@@ -120,7 +120,7 @@
 	defer f.mu.Unlock()
 	earliest := time.Time{}
 	for _, s := range f.service(name).servers {
-		if s.Leaving {
+		if s.Leaving || s.evacuated {
 			continue
 		}
 		if !s.paused(now) {
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -376,7 +376,7 @@
 
 // accepts reports whether a server may be sent a request, apart from its limit.
 func (s *server) accepts(r *Request, now time.Time) bool {
-	return !s.Leaving && !s.switching && !s.paused(now) && !slices.Contains(r.Exclude, s.ID) && (r.Only == "" || r.Only == s.ID)
+	return !s.Leaving && !s.evacuated && !s.switching && !s.paused(now) && !slices.Contains(r.Exclude, s.ID) && (r.Only == "" || r.Only == s.ID)
 }
 
 // Accepts reports whether a server is known and accepts new requests.
@@ -403,10 +403,10 @@
 	return s != nil && !s.accepts(&Request{}, time.Now())
 }
 
-// Usable reports whether a server is known, not leaving, and wants requests.
+// Usable reports whether a server is known, not leaving or evacuated, and wants requests.
 func (f *Fleet) Usable(id model.BackendID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.servers[id]
-	return s != nil && !s.Leaving && !s.paused(time.Now())
+	return s != nil && !s.Leaving && !s.evacuated && !s.paused(time.Now())
 }
--- a/pkg/placement/summary.go
+++ b/pkg/placement/summary.go
@@ -17,7 +17,7 @@
 		return 0, 0
 	}
 	for _, s := range k.servers {
-		if s.Leaving || s.Stage == StagePrefill {
+		if s.Leaving || s.evacuated || s.Stage == StagePrefill {
 			continue
 		}
 		running += s.totalRunning()
@@ -71,7 +71,7 @@
 			if now.Before(e.suspectUntil) {
 				s.Suspects++
 			}
-			if e.Leaving || e.switching {
+			if e.Leaving || e.evacuated || e.switching {
 				continue
 			}
 			wait := max(0, e.busyUntil.Sub(now))
--- a/pkg/placement/turns.go
+++ b/pkg/placement/turns.go
@@ -93,7 +93,7 @@
 	k := f.service(name)
 	earliest, rate := time.Time{}, 0.0
 	for _, s := range k.servers {
-		if s.Leaving || s.turns.unlimited(now) && !s.paused(now) {
+		if s.Leaving || s.evacuated || s.turns.unlimited(now) && !s.paused(now) {
 			continue
 		}
 		at, ok := s.turns.next(now)
