Carry observed limits, engine memory and fixed windows between hosts

Cause: three parts need a field each in the updates that hosts exchange.

Change: a limit says whether a host found it from the server's responses, the load on an engine has the memory that requests use, and the holder of the duties names the newest usage window that it has fixed. Bundles have format 4. Nothing sets the fields yet.

Measured: the encoding tests with the new fields set.

--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -47,6 +47,9 @@
 type Holding struct {
 	Holder string
 	Fence  uint64
+	// FixedWindow is the newest usage window whose figures the holder has fixed, 0 if there
+	// is none.
+	FixedWindow int64
 }
 
 // News is a host's update: the state that all other hosts need.
--- a/pkg/mesh/wire.go
+++ b/pkg/mesh/wire.go
@@ -22,7 +22,7 @@
 //msgp:limit arrays:65536 maps:16
 
 // bundleFormat is the version of the encoding and the first value of a bundle.
-const bundleFormat = 3
+const bundleFormat = 4
 
 type wireBundle struct {
 	Format  uint8
@@ -43,16 +43,18 @@
 	Load   []wireLoad
 	Speeds []wireSpeed
 	// Whole, QuotaAge, Admitted and Refused encode News.Quota.
-	Whole     bool
-	QuotaAge  time.Duration
-	Admitted  []wireSum
-	Refused   []wireSum
-	Holder    []byte
-	Fence     uint64
-	Switching [][]byte
-	Suspects  []wireSuspect
-	Crashes   []wireCrash
-	Limits    []wireLimit
+	Whole    bool
+	QuotaAge time.Duration
+	Admitted []wireSum
+	Refused  []wireSum
+	Holder   []byte
+	Fence    uint64
+	// FixedWindow is that of News.Holding.
+	FixedWindow int64
+	Switching   [][]byte
+	Suspects    []wireSuspect
+	Crashes     []wireCrash
+	Limits      []wireLimit
 }
 
 type wireSender struct {
@@ -76,6 +78,7 @@
 	Backend  []byte
 	Running  int
 	UnreadMS float64
+	Tokens   int
 }
 
 type wireSum struct {
@@ -93,6 +96,7 @@
 	Incarnation int64
 	PerSecond   float64
 	Age         time.Duration
+	Observed    bool
 }
 
 type wireSuspect struct {
@@ -138,7 +142,7 @@
 	w.Load = resized(w.Load, len(news.Load.Load))
 	for i, l := range news.Load.Load {
 		to := &w.Load[i]
-		to.Backend, to.Running, to.UnreadMS = append(to.Backend[:0], l.Backend...), l.Running, l.UnreadMS
+		to.Backend, to.Running, to.UnreadMS, to.Tokens = append(to.Backend[:0], l.Backend...), l.Running, l.UnreadMS, l.Tokens
 	}
 	w.Speeds = w.Speeds[:0]
 	for pool, s := range news.Speeds {
@@ -146,7 +150,7 @@
 	}
 	w.Whole, w.QuotaAge = news.Quota.Whole, news.Quota.Age
 	w.Admitted, w.Refused = encodeSums(w.Admitted, news.Quota.Admitted), encodeSums(w.Refused, news.Quota.Refused)
-	w.Holder, w.Fence = append(w.Holder[:0], news.Holding.Holder...), news.Holding.Fence
+	w.Holder, w.Fence, w.FixedWindow = append(w.Holder[:0], news.Holding.Holder...), news.Holding.Fence, news.Holding.FixedWindow
 	w.Switching = w.Switching[:0]
 	for _, id := range news.Switching {
 		w.Switching = append(w.Switching, []byte(id))
@@ -171,7 +175,7 @@
 	w.Limits = resized(w.Limits, len(limits))
 	for i, l := range limits {
 		to := &w.Limits[i]
-		to.Backend, to.Incarnation, to.PerSecond, to.Age = append(to.Backend[:0], l.Backend...), l.Incarnation, l.PerSecond, l.Age
+		to.Backend, to.Incarnation, to.PerSecond, to.Age, to.Observed = append(to.Backend[:0], l.Backend...), l.Incarnation, l.PerSecond, l.Age, l.Observed
 	}
 }
 
@@ -181,7 +185,7 @@
 	for i := range w.Limits {
 		from := &w.Limits[i]
 		limits = append(limits, placement.LimitStatement{
-			Backend: model.BackendID(names.intern(from.Backend)), Incarnation: from.Incarnation, PerSecond: from.PerSecond, Age: from.Age,
+			Backend: model.BackendID(names.intern(from.Backend)), Incarnation: from.Incarnation, PerSecond: from.PerSecond, Age: from.Age, Observed: from.Observed,
 		})
 	}
 	return limits
@@ -244,7 +248,7 @@
 	}
 	for i := range w.Load {
 		from := &w.Load[i]
-		news.Load.Load[i] = placement.ServerLoad{Backend: model.BackendID(names.intern(from.Backend)), Running: from.Running, UnreadMS: from.UnreadMS}
+		news.Load.Load[i] = placement.ServerLoad{Backend: model.BackendID(names.intern(from.Backend)), Running: from.Running, UnreadMS: from.UnreadMS, Tokens: from.Tokens}
 	}
 	if len(w.Speeds) > 0 {
 		news.Speeds = make(map[model.PoolName]placement.Speed, len(w.Speeds))
@@ -256,7 +260,7 @@
 		}
 	}
 	news.Quota = quota.Usage{Whole: w.Whole, Age: w.QuotaAge, Admitted: decodeSums(w.Admitted, names), Refused: decodeSums(w.Refused, names)}
-	news.Holding = Holding{names.intern(w.Holder), w.Fence}
+	news.Holding = Holding{names.intern(w.Holder), w.Fence, w.FixedWindow}
 	for _, id := range w.Switching {
 		news.Switching = append(news.Switching, model.BackendID(names.intern(id)))
 	}
--- a/pkg/mesh/wire_gen.go
+++ b/pkg/mesh/wire_gen.go
@@ -240,12 +240,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *wireLimit) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendBytes(o, z.Backend)
 	o = msgp.AppendInt64(o, z.Incarnation)
 	o = msgp.AppendFloat64(o, z.PerSecond)
 	o = msgp.AppendDuration(o, z.Age)
+	o = msgp.AppendBool(o, z.Observed)
 	return
 }
 
@@ -257,8 +258,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -297,24 +298,30 @@
 		err = msgp.WrapError(err, "Age")
 		return
 	}
+	z.Observed, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Observed")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *wireLimit) Msgsize() (s int) {
-	s = 1 + msgp.BytesPrefixSize + len(z.Backend) + msgp.Int64Size + msgp.Float64Size + msgp.DurationSize
+	s = 1 + msgp.BytesPrefixSize + len(z.Backend) + msgp.Int64Size + msgp.Float64Size + msgp.DurationSize + msgp.BoolSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *wireLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendBytes(o, z.Backend)
 	o = msgp.AppendInt(o, z.Running)
 	o = msgp.AppendFloat64(o, z.UnreadMS)
+	o = msgp.AppendInt(o, z.Tokens)
 	return
 }
 
@@ -326,8 +333,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -361,13 +368,18 @@
 		err = msgp.WrapError(err, "UnreadMS")
 		return
 	}
+	z.Tokens, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *wireLoad) Msgsize() (s int) {
-	s = 1 + msgp.BytesPrefixSize + len(z.Backend) + msgp.IntSize + msgp.Float64Size
+	s = 1 + msgp.BytesPrefixSize + len(z.Backend) + msgp.IntSize + msgp.Float64Size + msgp.IntSize
 	return
 }
 
@@ -416,8 +428,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *wireRelayed) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 19
-	o = append(o, 0xdc, 0x0, 0x13)
+	// array header, size 20
+	o = append(o, 0xdc, 0x0, 0x14)
 	o = msgp.AppendBytes(o, z.Host)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Sender)))
 	for za0001 := range z.Sender {
@@ -441,11 +453,11 @@
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Load)))
 	for za0003 := range z.Load {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendBytes(o, z.Load[za0003].Backend)
-		o = msgp.AppendInt(o, z.Load[za0003].Running)
-		o = msgp.AppendFloat64(o, z.Load[za0003].UnreadMS)
+		o, err = z.Load[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Load", za0003)
+			return
+		}
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Speeds)))
 	for za0004 := range z.Speeds {
@@ -473,6 +485,7 @@
 	}
 	o = msgp.AppendBytes(o, z.Holder)
 	o = msgp.AppendUint64(o, z.Fence)
+	o = msgp.AppendInt64(o, z.FixedWindow)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Switching)))
 	for za0007 := range z.Switching {
 		o = msgp.AppendBytes(o, z.Switching[za0007])
@@ -511,8 +524,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 19 {
-		err = msgp.ArrayError{Wanted: 19, Got: zb0001}
+	if zb0001 != 20 {
+		err = msgp.ArrayError{Wanted: 20, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -616,62 +629,26 @@
 		z.Load = make([]wireLoad, zb0005)
 	}
 	for za0003 := range z.Load {
-		var zb0006 uint32
-		zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.Load[za0003].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Load", za0003)
 			return
 		}
-		if zb0006 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0006}
-			return
-		}
-		var zb0007 uint32
-		zb0007, bts, err = msgp.ReadBytesHeader(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Load", za0003, "Backend")
-			return
-		}
-		if zb0007 > z5817a858limitArrays {
-			err = msgp.ErrLimitExceeded
-			return
-		}
-		if z.Load[za0003].Backend == nil || uint32(cap(z.Load[za0003].Backend)) < zb0007 {
-			z.Load[za0003].Backend = make([]byte, zb0007)
-		} else {
-			z.Load[za0003].Backend = z.Load[za0003].Backend[:zb0007]
-		}
-		if uint32(len(bts)) < zb0007 {
-			err = msgp.ErrShortBytes
-			return
-		}
-		copy(z.Load[za0003].Backend, bts[:zb0007])
-		bts = bts[zb0007:]
-		z.Load[za0003].Running, bts, err = msgp.ReadIntBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Load", za0003, "Running")
-			return
-		}
-		z.Load[za0003].UnreadMS, bts, err = msgp.ReadFloat64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Load", za0003, "UnreadMS")
-			return
-		}
 	}
-	var zb0008 uint32
-	zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0006 uint32
+	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Speeds")
 		return
 	}
-	if zb0008 > z5817a858limitArrays {
+	if zb0006 > z5817a858limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Speeds) >= int(zb0008) {
-		z.Speeds = (z.Speeds)[:zb0008]
+	if cap(z.Speeds) >= int(zb0006) {
+		z.Speeds = (z.Speeds)[:zb0006]
 	} else {
-		z.Speeds = make([]wireSpeed, zb0008)
+		z.Speeds = make([]wireSpeed, zb0006)
 	}
 	for za0004 := range z.Speeds {
 		bts, err = z.Speeds[za0004].UnmarshalMsg(bts)
@@ -690,200 +667,205 @@
 		err = msgp.WrapError(err, "QuotaAge")
 		return
 	}
-	var zb0009 uint32
-	zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0007 uint32
+	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Admitted")
 		return
 	}
-	if zb0009 > z5817a858limitArrays {
+	if zb0007 > z5817a858limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Admitted) >= int(zb0009) {
-		z.Admitted = (z.Admitted)[:zb0009]
+	if cap(z.Admitted) >= int(zb0007) {
+		z.Admitted = (z.Admitted)[:zb0007]
 	} else {
-		z.Admitted = make([]wireSum, zb0009)
+		z.Admitted = make([]wireSum, zb0007)
 	}
 	for za0005 := range z.Admitted {
-		var zb0010 uint32
-		zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		var zb0008 uint32
+		zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Admitted", za0005)
 			return
 		}
-		if zb0010 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0010}
+		if zb0008 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0008}
 			return
 		}
-		var zb0011 uint32
-		zb0011, bts, err = msgp.ReadBytesHeader(bts)
+		var zb0009 uint32
+		zb0009, bts, err = msgp.ReadBytesHeader(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Admitted", za0005, "Organisation")
 			return
 		}
-		if zb0011 > z5817a858limitArrays {
+		if zb0009 > z5817a858limitArrays {
 			err = msgp.ErrLimitExceeded
 			return
 		}
-		if z.Admitted[za0005].Organisation == nil || uint32(cap(z.Admitted[za0005].Organisation)) < zb0011 {
-			z.Admitted[za0005].Organisation = make([]byte, zb0011)
+		if z.Admitted[za0005].Organisation == nil || uint32(cap(z.Admitted[za0005].Organisation)) < zb0009 {
+			z.Admitted[za0005].Organisation = make([]byte, zb0009)
 		} else {
-			z.Admitted[za0005].Organisation = z.Admitted[za0005].Organisation[:zb0011]
+			z.Admitted[za0005].Organisation = z.Admitted[za0005].Organisation[:zb0009]
 		}
-		if uint32(len(bts)) < zb0011 {
+		if uint32(len(bts)) < zb0009 {
 			err = msgp.ErrShortBytes
 			return
 		}
-		copy(z.Admitted[za0005].Organisation, bts[:zb0011])
-		bts = bts[zb0011:]
+		copy(z.Admitted[za0005].Organisation, bts[:zb0009])
+		bts = bts[zb0009:]
 		z.Admitted[za0005].Sum, bts, err = msgp.ReadFloat64Bytes(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Admitted", za0005, "Sum")
 			return
 		}
 	}
-	var zb0012 uint32
-	zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0010 uint32
+	zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Refused")
 		return
 	}
-	if zb0012 > z5817a858limitArrays {
+	if zb0010 > z5817a858limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Refused) >= int(zb0012) {
-		z.Refused = (z.Refused)[:zb0012]
+	if cap(z.Refused) >= int(zb0010) {
+		z.Refused = (z.Refused)[:zb0010]
 	} else {
-		z.Refused = make([]wireSum, zb0012)
+		z.Refused = make([]wireSum, zb0010)
 	}
 	for za0006 := range z.Refused {
-		var zb0013 uint32
-		zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		var zb0011 uint32
+		zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Refused", za0006)
 			return
 		}
-		if zb0013 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0013}
+		if zb0011 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0011}
 			return
 		}
-		var zb0014 uint32
-		zb0014, bts, err = msgp.ReadBytesHeader(bts)
+		var zb0012 uint32
+		zb0012, bts, err = msgp.ReadBytesHeader(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Refused", za0006, "Organisation")
 			return
 		}
-		if zb0014 > z5817a858limitArrays {
+		if zb0012 > z5817a858limitArrays {
 			err = msgp.ErrLimitExceeded
 			return
 		}
-		if z.Refused[za0006].Organisation == nil || uint32(cap(z.Refused[za0006].Organisation)) < zb0014 {
-			z.Refused[za0006].Organisation = make([]byte, zb0014)
+		if z.Refused[za0006].Organisation == nil || uint32(cap(z.Refused[za0006].Organisation)) < zb0012 {
+			z.Refused[za0006].Organisation = make([]byte, zb0012)
 		} else {
-			z.Refused[za0006].Organisation = z.Refused[za0006].Organisation[:zb0014]
+			z.Refused[za0006].Organisation = z.Refused[za0006].Organisation[:zb0012]
 		}
-		if uint32(len(bts)) < zb0014 {
+		if uint32(len(bts)) < zb0012 {
 			err = msgp.ErrShortBytes
 			return
 		}
-		copy(z.Refused[za0006].Organisation, bts[:zb0014])
-		bts = bts[zb0014:]
+		copy(z.Refused[za0006].Organisation, bts[:zb0012])
+		bts = bts[zb0012:]
 		z.Refused[za0006].Sum, bts, err = msgp.ReadFloat64Bytes(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Refused", za0006, "Sum")
 			return
 		}
 	}
-	var zb0015 uint32
-	zb0015, bts, err = msgp.ReadBytesHeader(bts)
+	var zb0013 uint32
+	zb0013, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Holder")
 		return
 	}
-	if zb0015 > z5817a858limitArrays {
+	if zb0013 > z5817a858limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if z.Holder == nil || uint32(cap(z.Holder)) < zb0015 {
-		z.Holder = make([]byte, zb0015)
+	if z.Holder == nil || uint32(cap(z.Holder)) < zb0013 {
+		z.Holder = make([]byte, zb0013)
 	} else {
-		z.Holder = z.Holder[:zb0015]
+		z.Holder = z.Holder[:zb0013]
 	}
-	if uint32(len(bts)) < zb0015 {
+	if uint32(len(bts)) < zb0013 {
 		err = msgp.ErrShortBytes
 		return
 	}
-	copy(z.Holder, bts[:zb0015])
-	bts = bts[zb0015:]
+	copy(z.Holder, bts[:zb0013])
+	bts = bts[zb0013:]
 	z.Fence, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Fence")
 		return
 	}
-	var zb0016 uint32
-	zb0016, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	z.FixedWindow, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "FixedWindow")
+		return
+	}
+	var zb0014 uint32
+	zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Switching")
 		return
 	}
-	if zb0016 > z5817a858limitArrays {
+	if zb0014 > z5817a858limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Switching) >= int(zb0016) {
-		z.Switching = (z.Switching)[:zb0016]
+	if cap(z.Switching) >= int(zb0014) {
+		z.Switching = (z.Switching)[:zb0014]
 	} else {
-		z.Switching = make([][]byte, zb0016)
+		z.Switching = make([][]byte, zb0014)
 	}
 	for za0007 := range z.Switching {
-		var zb0017 uint32
-		zb0017, bts, err = msgp.ReadBytesHeader(bts)
+		var zb0015 uint32
+		zb0015, bts, err = msgp.ReadBytesHeader(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Switching", za0007)
 			return
 		}
-		if zb0017 > z5817a858limitArrays {
+		if zb0015 > z5817a858limitArrays {
 			err = msgp.ErrLimitExceeded
 			return
 		}
-		if z.Switching[za0007] == nil || uint32(cap(z.Switching[za0007])) < zb0017 {
-			z.Switching[za0007] = make([]byte, zb0017)
+		if z.Switching[za0007] == nil || uint32(cap(z.Switching[za0007])) < zb0015 {
+			z.Switching[za0007] = make([]byte, zb0015)
 		} else {
-			z.Switching[za0007] = z.Switching[za0007][:zb0017]
+			z.Switching[za0007] = z.Switching[za0007][:zb0015]
 		}
-		if uint32(len(bts)) < zb0017 {
+		if uint32(len(bts)) < zb0015 {
 			err = msgp.ErrShortBytes
 			return
 		}
-		copy(z.Switching[za0007], bts[:zb0017])
-		bts = bts[zb0017:]
+		copy(z.Switching[za0007], bts[:zb0015])
+		bts = bts[zb0015:]
 	}
-	var zb0018 uint32
-	zb0018, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0016 uint32
+	zb0016, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Suspects")
 		return
 	}
-	if zb0018 > z5817a858limitArrays {
+	if zb0016 > z5817a858limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Suspects) >= int(zb0018) {
-		z.Suspects = (z.Suspects)[:zb0018]
+	if cap(z.Suspects) >= int(zb0016) {
+		z.Suspects = (z.Suspects)[:zb0016]
 	} else {
-		z.Suspects = make([]wireSuspect, zb0018)
+		z.Suspects = make([]wireSuspect, zb0016)
 	}
 	for za0008 := range z.Suspects {
-		var zb0019 uint32
-		zb0019, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		var zb0017 uint32
+		zb0017, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Suspects", za0008)
 			return
 		}
-		if zb0019 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0019}
+		if zb0017 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0017}
 			return
 		}
 		z.Suspects[za0008].Digest, bts, err = msgp.ReadStringBytes(bts)
@@ -897,20 +879,20 @@
 			return
 		}
 	}
-	var zb0020 uint32
-	zb0020, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0018 uint32
+	zb0018, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Crashes")
 		return
 	}
-	if zb0020 > z5817a858limitArrays {
+	if zb0018 > z5817a858limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Crashes) >= int(zb0020) {
-		z.Crashes = (z.Crashes)[:zb0020]
+	if cap(z.Crashes) >= int(zb0018) {
+		z.Crashes = (z.Crashes)[:zb0018]
 	} else {
-		z.Crashes = make([]wireCrash, zb0020)
+		z.Crashes = make([]wireCrash, zb0018)
 	}
 	for za0009 := range z.Crashes {
 		bts, err = z.Crashes[za0009].UnmarshalMsg(bts)
@@ -919,20 +901,20 @@
 			return
 		}
 	}
-	var zb0021 uint32
-	zb0021, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0019 uint32
+	zb0019, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Limits")
 		return
 	}
-	if zb0021 > z5817a858limitArrays {
+	if zb0019 > z5817a858limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Limits) >= int(zb0021) {
-		z.Limits = (z.Limits)[:zb0021]
+	if cap(z.Limits) >= int(zb0019) {
+		z.Limits = (z.Limits)[:zb0019]
 	} else {
-		z.Limits = make([]wireLimit, zb0021)
+		z.Limits = make([]wireLimit, zb0019)
 	}
 	for za0010 := range z.Limits {
 		bts, err = z.Limits[za0010].UnmarshalMsg(bts)
@@ -957,7 +939,7 @@
 	}
 	s += msgp.ArrayHeaderSize
 	for za0003 := range z.Load {
-		s += 1 + msgp.BytesPrefixSize + len(z.Load[za0003].Backend) + msgp.IntSize + msgp.Float64Size
+		s += z.Load[za0003].Msgsize()
 	}
 	s += msgp.ArrayHeaderSize
 	for za0004 := range z.Speeds {
@@ -971,7 +953,7 @@
 	for za0006 := range z.Refused {
 		s += 1 + msgp.BytesPrefixSize + len(z.Refused[za0006].Organisation) + msgp.Float64Size
 	}
-	s += msgp.BytesPrefixSize + len(z.Holder) + msgp.Uint64Size + msgp.ArrayHeaderSize
+	s += msgp.BytesPrefixSize + len(z.Holder) + msgp.Uint64Size + msgp.Int64Size + msgp.ArrayHeaderSize
 	for za0007 := range z.Switching {
 		s += msgp.BytesPrefixSize + len(z.Switching[za0007])
 	}
--- a/pkg/mesh/wire_test.go
+++ b/pkg/mesh/wire_test.go
@@ -35,7 +35,7 @@
 			News: News{
 				Load: placement.Report{
 					Sends: []placement.Send{{Backend: "e1", WorkMS: 22.5, Parts: []placement.Part{{ID: 1 << 63, Tokens: 13000}, {ID: 2}}}, {Backend: "e2"}},
-					Load:  placement.Load{{Backend: "e1", Running: 2, UnreadMS: 0.0625}, {Backend: "e3", UnreadMS: 1e6}},
+					Load:  placement.Load{{Backend: "e1", Running: 2, UnreadMS: 0.0625, Tokens: 1700}, {Backend: "e3", UnreadMS: 1e6}},
 				},
 				Speeds: map[model.PoolName]placement.Speed{"m": {PrefillRate: 1, DecodeRate: 2, PrefillMS: 3, DecodeMS: 4, FirstMS: 5}},
 				Quota: quota.Usage{
@@ -43,13 +43,13 @@
 					Admitted: map[model.OrganisationID]float64{"o": 1e12, "p": 0.5},
 					Refused:  map[model.OrganisationID]float64{"o": 3},
 				},
-				Holding: Holding{"a", 9}, Switching: []model.BackendID{"e1", "e2"},
+				Holding: Holding{"a", 9, 1 << 40}, Switching: []model.BackendID{"e1", "e2"},
 				Suspects: map[string]int{"\x00\xff": 2},
 				Crashes: []quarantine.Crash{
 					{Server: "e1", Age: time.Second, Parts: []quarantine.CrashedPart{{ID: 1 << 63, Answered: true, AnswerAge: time.Hour}, {ID: 5}}},
 					{Server: "e2", Parts: []quarantine.CrashedPart{{ID: 7}}},
 				},
-				Limits: []placement.LimitStatement{{Backend: "e1", Incarnation: 1 << 40, PerSecond: 8.6, Age: time.Second}, {Backend: "e2", PerSecond: placement.NoLimit}},
+				Limits: []placement.LimitStatement{{Backend: "e1", Incarnation: 1 << 40, PerSecond: 8.6, Age: time.Second, Observed: true}, {Backend: "e2", PerSecond: placement.NoLimit}},
 			},
 		},
 		{From: Member{Host: "b"}, Number: 2, News: News{Load: placement.Report{Load: placement.Load{{Backend: "e1", Running: 1}}}}},
--- a/pkg/placement/limits.go
+++ b/pkg/placement/limits.go
@@ -50,6 +50,9 @@
 	PerSecond float64
 	// Age is the time since the response that stated it arrived.
 	Age time.Duration
+	// Observed is set if a host found the limit from the server's responses, and not set if
+	// the server stated it.
+	Observed bool
 }
 
 // statedLimit is the latest statement about a server's limit.
--- a/pkg/placement/report.go
+++ b/pkg/placement/report.go
@@ -29,8 +29,14 @@
 	// UnreadMS is the prefill time of the host's requests whose prefill has not ended.
 	// Unit: milliseconds.
 	UnreadMS float64
+	// Tokens is the KV cache memory that the host's requests use on an engine, in units of
+	// tokensPerUnit tokens.
+	Tokens int
 }
 
+// tokensPerUnit is the unit of ServerLoad.Tokens. Unit: tokens.
+const tokensPerUnit = 256
+
 // Report is what a host sends to its peers.
 type Report struct {
 	// Sends is the work sent since the last report.
