Find the pace of servers that start or recover from their responses

Cause: a server that had just started got its whole share at once, from hosts that learn late of each other's requests, or none while it was suspected.

Change: where Backend.Start.FindPace is set, such a server begins at an eighth of the mean rate of its stage. Its observer, the host of rank 0 among its users, doubles the rate after a round of responses in time, halves it when they fail or are late, and ends it at the mean rate. Observed statements carry it beside the limits that servers state. A pace is ignored where it would leave no server, and for a stage whose warm servers could not take what is held back. Lives that were present when the host started are not paced.

--- a/pkg/placement/fleet.go
+++ b/pkg/placement/fleet.go
@@ -30,6 +30,10 @@
 	self    string
 	hosts   []string
 	members []string
+	// firstServerAt is when the first server was registered.
+	firstServerAt time.Time
+	// startEvents are events for the log.
+	startEvents []StartEvent
 }
 
 // service holds the servers of a service and the estimates for its engines.
@@ -45,6 +49,10 @@
 	// prefillWork is the total prefill time of the requests that all hosts have sent so
 	// far.
 	prefillWork time.Duration
+	// rates are the rates of this host's requests by stage.
+	rates [3]requestRate
+	// plainCall is the usual duration of a call to a plain service. Unit: milliseconds.
+	plainCall estimate
 	// nextReturn is the time for which the next refused caller is asked to come back.
 	nextReturn time.Time
 }
@@ -74,12 +82,10 @@
 	pausedUntil time.Time
 	// evacuated is set while the server's data centre is evacuated.
 	evacuated bool
-	// coldUntil is the time until which the server is cold.
-	coldUntil time.Time
 	// turns is this host's part of the server's limit, nil if it has none.
 	turns *turns
-	// coldTurns is this host's part of what a cold server tolerates, nil if it is warm.
-	coldTurns *turns
+	// start is the state of the start of the server's present life.
+	start
 }
 
 // NewFleet returns a fleet without servers.
@@ -110,7 +116,7 @@
 	f.markEvacuated(s)
 	f.heedNotice(s)
 	if !sameLife {
-		s.turns, s.coldTurns, s.coldUntil = nil, nil, time.Time{}
+		s.turns, s.start = nil, start{}
 		f.divideLimit(s)
 	}
 	if b.Engine != nil {
--- a/pkg/placement/health.go
+++ b/pkg/placement/health.go
@@ -36,6 +36,7 @@
 	defer f.mu.Unlock()
 	if s := f.servers[id]; s != nil {
 		s.recordOutcome(o, now)
+		f.noteFailure(s, o, now, now)
 	}
 }
 
--- a/pkg/placement/limits.go
+++ b/pkg/placement/limits.go
@@ -45,7 +45,9 @@
 type LimitStatement struct {
 	Backend     model.BackendID
 	Incarnation int64
-	// PerSecond is the limit for all hosts together, NoLimit if there is none any more.
+	// PerSecond is the limit for all hosts together, NoLimit if there is none any more. If it
+	// is Observed and not positive, it is the negative number of requests with which the
+	// sender has had trouble.
 	// Unit: requests per second.
 	PerSecond float64
 	// Age is the time since the response that stated it arrived.
@@ -105,6 +107,9 @@
 	f.self, f.hosts = self, hosts
 	for _, s := range f.servers {
 		f.divideLimit(s)
+		if s.pace != nil {
+			f.dividePace(s)
+		}
 	}
 }
 
@@ -135,6 +140,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range statements {
+		if s.Observed {
+			f.handlePace(s, now)
+			continue
+		}
 		key := life{s.Backend, s.Incarnation}
 		stated := statedLimit{perSecond: s.PerSecond, at: now.Add(-s.Age)}
 		known := f.limits[key]
@@ -181,7 +190,7 @@
 func (f *Fleet) Limits(full bool, now time.Time) []LimitStatement {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var list []LimitStatement
+	list := f.paces(full, now)
 	for key, l := range f.limits {
 		s := f.servers[key.id]
 		repeat := full && s != nil && s.Incarnation == key.incarnation && !s.turns.unlimited(now) &&
--- a/pkg/placement/notices.go
+++ b/pkg/placement/notices.go
@@ -82,8 +82,12 @@
 		return begins
 	}
 	n.pausedUntil = until
-	if s := f.servers[b.ID]; s != nil {
+	if s := f.servers[b.ID]; s != nil && s.Incarnation == b.Incarnation {
 		f.heedNotice(s)
+		f.noteOwnTrouble(s, troublesToPace, now)
+		if s.pace != nil {
+			f.dividePace(s)
+		}
 	}
 	return begins
 }
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -18,8 +18,15 @@
 		return Plan{}, false
 	}
 	f.updatePreferences(k)
+	pacing := f.pacing(k, now)
+	if pacing != [3]bool{} && !r.IgnorePace {
+		if plan, ok := f.place(k, r, true, pacing, now); ok {
+			plan.HeldBack = true
+			return plan, true
+		}
+	}
 	for _, strict := range []bool{true, false} {
-		if plan, ok := f.place(k, r, strict, now); ok {
+		if plan, ok := f.place(k, r, strict, [3]bool{}, now); ok {
 			return plan, true
 		}
 	}
@@ -28,14 +35,14 @@
 
 // place returns the cheapest plan. If strict is set, it excludes suspected servers; Place
 // then tries again with them, because a suspicion may be wrong and alone must not cause a
-// request to be rejected.
-func (f *Fleet) place(k *service, r *Request, strict bool, now time.Time) (Plan, bool) {
-	d := decision{fleet: f, service: k, request: r, now: now}
+// request to be rejected. pacing are the stages whose paces are kept.
+func (f *Fleet) place(k *service, r *Request, strict bool, pacing [3]bool, now time.Time) (Plan, bool) {
+	d := decision{fleet: f, service: k, request: r, now: now, pacing: pacing}
 	for _, s := range k.servers {
 		if !s.accepts(r, now) || strict && now.Before(s.suspectUntil) {
 			continue
 		}
-		if !s.hasTurn(now) {
+		if !s.hasTurn(now) || pacing[s.Stage] && !s.paceTurns.free(now) {
 			d.atLimit = append(d.atLimit, s)
 			continue
 		}
@@ -63,6 +70,8 @@
 	// atLimit are servers that take no more requests now because of their limits. Other
 	// engines may still fetch from their caches.
 	atLimit []*server
+	// pacing are the stages whose paces are kept.
+	pacing [3]bool
 	// meanRunning is the mean number of running requests per decode engine.
 	meanRunning int
 
@@ -85,8 +94,11 @@
 }
 
 // penalty returns the cost of a server that other hosts prefer or that has failed recent
-// requests.
+// requests. A pace bounds the latter's requests by itself, and the server is tried again.
 func (d *decision) penalty(s *server) time.Duration {
+	if d.pacing[s.Stage] && s.paced(d.now) {
+		return 0
+	}
 	return s.preferenceCost + time.Duration(s.failureRate*float64(d.fleet.settings.FailurePenalty))
 }
 
@@ -353,17 +365,19 @@
 		return Backend{}, false
 	}
 	t.giveRunTurnBack(now)
-	d := decision{fleet: f, service: k, request: r, now: now}
+	d := decision{fleet: f, service: k, request: r, now: now, pacing: f.pacing(k, now)}
 	var best *server
 	var lowest time.Duration
+	bestHeld := false
 	for _, s := range k.servers {
 		if s.Stage != StageDecode || !s.accepts(r, now) || !s.hasTurn(now) || now.Before(s.suspectUntil) {
 			continue
 		}
+		held := d.pacing[StageDecode] && !s.paceTurns.free(now)
 		_, cost := d.transfer(r.PromptTokens-s.cache.prefixTokens(r.Parts), prefiller, s)
 		cost += d.slotWait(s) + d.networkCost(s) + d.penalty(s) + d.batchCost(s)
-		if best == nil || cost < lowest {
-			best, lowest = s, cost
+		if best == nil || bestHeld && !held || bestHeld == held && cost < lowest {
+			best, lowest, bestHeld = s, cost, held
 		}
 	}
 	if best == nil {
@@ -387,7 +401,8 @@
 	return s != nil && s.accepts(&Request{}, time.Now())
 }
 
-// HasTurn reports whether a server is known and its limits allow this host a request now.
+// HasTurn reports whether a server is known and its limits, apart from its pace, allow this
+// host a request now.
 func (f *Fleet) HasTurn(id model.BackendID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/placement/start.go
+++ b/pkg/placement/start.go
@@ -20,6 +20,34 @@
 	minColdDepth = 1
 )
 
+// start is the state of the cold and the slow start of a server in one life.
+type start struct {
+	// known is set once the life has been noted.
+	known bool
+	// coldUntil is the time until which the server is cold, statedCold is set while its
+	// latest registration states that it is.
+	coldUntil  time.Time
+	statedCold bool
+	// coldTurns is this host's part of what a cold server tolerates, nil if it is warm.
+	coldTurns *turns
+	// pace is the rate limit found for a server that starts or recovers, paceTurns this
+	// host's part of it. Both are nil if it has none.
+	pace      *pace
+	paceTurns *turns
+	// paceEndedAt is when the latest pace ended. endUnreported is set until the peers are
+	// told, endStatedUntil is until when they are told again.
+	paceEndedAt, endStatedUntil time.Time
+	endUnreported               bool
+	// paceStatedAt is when the peers were told of a pace or its end.
+	paceStatedAt time.Time
+	// troubles counts the latest troubles with the server, of which the last was at
+	// troubleAt. unreportedTroubles are those of this host that the peers have not been told.
+	troubles, unreportedTroubles int
+	troubleAt                    time.Time
+	// inTimeAt is when the latest response in time arrived.
+	inTimeAt time.Time
+}
+
 // SetMembers sets the names of all hosts that may be there, also silent ones.
 func (f *Fleet) SetMembers(members []string) {
 	f.mu.Lock()
@@ -37,8 +65,8 @@
 	}
 }
 
-// NoteCold records until when a server is cold according to its registration. A time that
-// is not after now means that the server is warm.
+// NoteCold records until when a server is cold according to its registration, after each
+// Update with a registration. A time that is not after now means that the server is warm.
 func (f *Fleet) NoteCold(id model.BackendID, incarnation int64, until, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -46,6 +74,8 @@
 	if s == nil || s.Incarnation != incarnation {
 		return
 	}
+	f.noteLife(s, until.After(now), now)
+	f.noteColdChange(s, until, now)
 	s.coldUntil = until
 	switch {
 	case !until.After(now) || s.Start == nil || s.Start.ColdPerSecond <= 0:
@@ -60,6 +90,19 @@
 	}
 }
 
+// noteColdChange queues an event if the server was warm and is cold until a time, or the
+// reverse. The caller holds f.mu.
+func (f *Fleet) noteColdChange(s *server, until, now time.Time) {
+	switch cold := until.After(now); {
+	case cold && !s.statedCold && s.Start != nil:
+		f.queueStartEvent(s, "backend server is cold", s.Start.ColdPerSecond)
+		s.statedCold = true
+	case !cold && s.statedCold:
+		f.queueStartEvent(s, "backend server is warm", 0)
+		s.statedCold = false
+	}
+}
+
 // coldBucket returns the rate and the burst of a cold server for all hosts together, whose
 // sum is what they send in any second at most.
 func (f *Fleet) coldBucket(s *server) (rate, depth float64) {
--- a/pkg/placement/ticket.go
+++ b/pkg/placement/ticket.go
@@ -33,6 +33,7 @@
 	t := &Ticket{plan: p, prompt: r.Parts, sentAt: now}
 	if run := f.servers[p.Run.ID]; run != nil {
 		t.takeRunTurn(run, now)
+		f.service(run.Service).rates[run.Stage].add(now)
 		if p.Prefill == nil {
 			t.run(run)
 		}
@@ -43,6 +44,7 @@
 	}
 	if p.Prefill != nil {
 		prefiller.takeTurn(now)
+		f.service(prefiller.Service).rates[prefiller.Stage].add(now)
 	}
 	t.prefillerIdle = !prefiller.busyUntil.After(now)
 	prefiller.addBacklog(p.prefillWork, now)
@@ -117,6 +119,9 @@
 	f.endPrefill(t)
 	t.prefilledAt = now
 	f.observe(t, now.Sub(t.sentAt), StagePrefill, now)
+	if s := f.servers[t.plan.Prefiller().ID]; s != nil {
+		f.noteResponse(s, t.sentAt, now, t.plan.Prefilled)
+	}
 }
 
 // endPrefill removes a request from the pending prefill of its engine, because the prompt
@@ -154,6 +159,9 @@
 	if s := f.servers[t.plan.Run.ID]; s != nil {
 		s.silentFailures = 0
 		s.suspectUntil = time.Time{}
+		if s.Stage != StageNone {
+			f.noteResponse(s, t.runSentAt(), now, t.runPredicted())
+		}
 	}
 }
 
@@ -197,6 +205,21 @@
 		t.giveRunTurnBack(now)
 	}
 	s.recordOutcome(o, now)
+	if t.running {
+		f.noteFailure(s, o, t.runSentAt(), now)
+		f.noteEnd(s, t, o, now)
+	}
+}
+
+// runSentAt returns when the request was sent to the server that runs it.
+func (t *Ticket) runSentAt() time.Time { return later(t.sentAt, t.prefilledAt) }
+
+// runPredicted returns the predicted time from then to the first event.
+func (t *Ticket) runPredicted() time.Duration {
+	if t.plan.Prefill == nil {
+		return t.plan.Predicted
+	}
+	return t.plan.Predicted - t.plan.Prefilled
 }
 
 // releaseWork subtracts the remaining work of a request that ended before its prefill from
--- a/pkg/placement/turns.go
+++ b/pkg/placement/turns.go
@@ -99,14 +99,18 @@
 
 // A server may have several limits. A request needs a turn of each.
 
-func (s *server) allTurns() []*turns { return []*turns{s.turns, s.coldTurns} }
+func (s *server) allTurns() []*turns { return []*turns{s.turns, s.coldTurns, s.paceTurns} }
 
-// unlimited reports whether the server has no limit.
+// limits are the limits because of which requests are refused. A pace is not among them.
+func (s *server) limits() []*turns { return []*turns{s.turns, s.coldTurns} }
+
+// unlimited reports whether the server has no limit, apart from its pace.
 func (s *server) unlimited(now time.Time) bool {
 	return s.turns.unlimited(now) && s.coldTurns.unlimited(now)
 }
 
-// hasTurn reports whether the limits of the server allow this host a request now.
+// hasTurn reports whether the limits of the server, apart from its pace, allow this host a
+// request now.
 func (s *server) hasTurn(now time.Time) bool { return s.turns.free(now) && s.coldTurns.free(now) }
 
 // takeTurn takes a turn of each limit for a request that is about to be sent, and returns
@@ -117,13 +121,17 @@
 			taken = append(taken, t)
 		}
 	}
+	if s.paceTurns != nil {
+		// Requests that ignore the pace do not postpone the next turn for long.
+		s.paceTurns.level = max(s.paceTurns.level, -s.paceTurns.depth)
+	}
 	return taken
 }
 
-// nextTurn returns when the limits allow the next request, and false if never.
+// nextTurn returns when the limits, apart from the pace, allow the next request, and false if never.
 func (s *server) nextTurn(now time.Time) (time.Time, bool) {
 	latest := now
-	for _, t := range s.allTurns() {
+	for _, t := range s.limits() {
 		at, ok := t.next(now)
 		if !ok {
 			return at, false
@@ -133,10 +141,10 @@
 	return latest, true
 }
 
-// turnRate returns the rate that the limits allow this host, 0 if there are none. Unit:
+// turnRate returns the rate that the limits, apart from the pace, allow this host, 0 if there are none. Unit:
 // requests per second.
 func (s *server) turnRate(now time.Time) (rate float64) {
-	for _, t := range s.allTurns() {
+	for _, t := range s.limits() {
 		if !t.unlimited(now) && (rate == 0 || t.rate < rate) {
 			rate = t.rate
 		}
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -93,6 +93,8 @@
 	Only model.BackendID
 	// ExcludePrefill excludes plans that use a prefill engine.
 	ExcludePrefill bool
+	// IgnorePace is set if the request would be refused because of the servers' paces.
+	IgnorePace bool
 }
 
 // Plan describes how a request is served.
@@ -111,6 +113,8 @@
 	Prefilled time.Duration
 	// Uncached is the number of prompt tokens to prefill.
 	Uncached int
+	// HeldBack is set if servers may have been left out because of their paces.
+	HeldBack bool
 	// prefillWork is the time that the prefill keeps its engine busy.
 	prefillWork time.Duration
 	// kvTransfer is the time to transfer the prompt's KV cache from the prefill engine to
