Refuse no request because of the paces of servers

Cause: a request is refused by its predicted time. Where the servers without a pace are busy, it was refused although a server in slow start would serve it.

Change: such a request is placed once more, regardless of the paces. The second placement is made only if the first was held back.

Measured: the new test got 503 before the change and gets 200 after it.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -269,7 +269,12 @@
 	}
 	c.lastPlan = plan
 	remaining := c.remaining()
-	if limit := time.Duration(c.g.settings.MaxPredictedShare * float64(remaining)); plan.Predicted > limit && !c.returning() {
+	limit := time.Duration(c.g.settings.MaxPredictedShare * float64(remaining))
+	if plan.Predicted > limit && !c.returning() {
+		if faster, ok := c.placeWithoutPaces(&plan); ok && faster.Predicted <= limit {
+			c.lastPlan = faster
+			return faster, nil
+		}
 		return plan, &rejection{
 			status: http.StatusServiceUnavailable, retryAfter: plan.Predicted - limit,
 			reason: "the request would miss its deadline",
@@ -278,6 +283,17 @@
 	return plan, nil
 }
 
+// placeWithoutPaces places the request regardless of the paces of servers that start, if the
+// plan is held back by them: a pace causes no refusals.
+func (c *call) placeWithoutPaces(plan *placement.Plan) (placement.Plan, bool) {
+	if !plan.HeldBack {
+		return placement.Plan{}, false
+	}
+	r := c.placementRequest
+	r.IgnorePace = true
+	return c.g.deps.Fleet.Place(&r, time.Now())
+}
+
 // initPlacement sets the placement request from the route and the caller's metadata.
 func (c *call) initPlacement() {
 	c.placementRequest = placement.Request{
