Log and count servers in slow start and cold ones

Cause: nothing showed which servers are cold or get fewer requests for their slow start.

Measured: the tests of pkg/edgehost pass with the race detector; no test covers the lines themselves beyond the events of pkg/placement.

--- a/pkg/edgehost/metrics.go
+++ b/pkg/edgehost/metrics.go
@@ -11,6 +11,7 @@
 	usageReports         *prometheus.CounterVec
 	dutyHolder           prometheus.Gauge
 	evacuated            prometheus.Gauge
+	startingServers      *prometheus.GaugeVec
 }
 
 func newHostMetrics(r prometheus.Registerer) *hostMetrics {
@@ -31,7 +32,9 @@
 			Name: "redwingpath_duty_holder", Help: "Whether this host holds the duties."}),
 		evacuated: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "redwingpath_evacuated_data_centres", Help: "Data centres whose servers get no requests because the operator evacuates them."}),
+		startingServers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "redwingpath_starting_servers", Help: "Backend servers in slow start (paced) and cold ones."}, []string{"state"}),
 	}
-	r.MustRegister(m.configurationVersion, m.storeUp, m.unreadableRecords, m.connections, m.messages, m.usageReports, m.dutyHolder, m.evacuated)
+	r.MustRegister(m.configurationVersion, m.storeUp, m.unreadableRecords, m.connections, m.messages, m.usageReports, m.dutyHolder, m.evacuated, m.startingServers)
 	return m
 }
--- a/pkg/edgehost/run.go
+++ b/pkg/edgehost/run.go
@@ -156,6 +156,16 @@
 	}
 }
 
+// logStarts logs the servers that begin or end a slow or cold start, and counts them.
+func (h *Host) logStarts(now time.Time) {
+	for _, e := range h.fleet.StartEvents() {
+		h.log.Info(e.Event, zap.String("backend", string(e.Backend)), zap.Float64("per_second", e.PerSecond))
+	}
+	paced, cold := h.fleet.StartingServers(now)
+	h.metrics.startingServers.WithLabelValues("paced").Set(float64(paced))
+	h.metrics.startingServers.WithLabelValues("cold").Set(float64(cold))
+}
+
 // sweep removes what has expired, updates gauges and logs summaries until ctx
 // ends.
 func (h *Host) sweep(ctx context.Context) {
@@ -175,6 +185,7 @@
 			rank, hosts := h.mesh.RankInDataCentre()
 			h.fleet.SetHostPosition(rank, hosts)
 			h.updateLimitUsers()
+			h.logStarts(now)
 			h.pool.Sweep(now)
 			for _, t := range h.tables {
 				t.Trim(now)
