Reject bodies without a framing whose request was not written

Cause: a server may respond to a long upload at once with a 200 without a length, send a part of its body and reset the connection while the upload is being written. A failed write takes the socket's pending error, so that the next read after the buffered bytes returns the end of the stream, and the part was forwarded as the whole.

Change: the end of such a body is an error if the request could not be written completely. The caller gets 502, or a stream that breaks off, and a repeatable request may be retried. A framed response that is complete stays valid, since a server may refuse a long upload early.

--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -147,11 +147,15 @@
 		}
 		return nil, sent, eris.Wrap(err, "read the answer")
 	}
+	r := &Response{Response: response, conn: c, stop: stop}
 	if writeErr != nil {
 		response.Close = true
+		if !r.Framed() {
+			response.Body = &unfinishedBody{ReadCloser: response.Body, cause: writeErr}
+		}
 	}
 	c.readKeepAlive(response.Header)
-	return &Response{Response: response, conn: c, stop: stop}, sent, nil
+	return r, sent, nil
 }
 
 // readKeepAlive sets the idle limit from the Keep-Alive header of a response.
