Reject responses whose status is not valid

Cause: http.ReadResponse accepts every status of three digits. net/http panics when a handler writes one below 100, so that the caller's connection ended without a response; 600 and above reached the caller.

Change: upstream.Conn.Send returns ErrInvalid for a final response with a status outside 200 to 599, for one of the class 1xx with a body, and for bytes that are no HTTP response. The gateway answers 502; the request may have run, so that only a repeatable one is retried, within its attempts and its budget. The server has not crashed, and a signed response counts as usage, as before. Interim responses are ignored as before. A status line that is cut by the end of its connection stays a broken connection.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -73,6 +73,7 @@
 			c.record(atmostonce.EventRefusal)
 			return nil, eris.Wrap(errConnect, err.Error())
 		}
+		c.countInvalidRun(err)
 		return nil, err
 	}
 	respMetadata := c.g.deps.Dialect.ResponseMetadata(resp.StatusCode, resp.Header)
@@ -100,6 +101,19 @@
 	return resp, nil
 }
 
+// countInvalidRun counts the usage of a request whose response has an invalid status but is
+// signed by the backend server, which has run the request.
+func (c *call) countInvalidRun(err error) {
+	var invalid *upstream.StatusError
+	if !errors.As(err, &invalid) {
+		return
+	}
+	m := c.g.deps.Dialect.ResponseMetadata(invalid.Response.StatusCode, invalid.Response.Header)
+	if m.Sealed && belongsTo(c.metadata.ID, invalid.Response, m) {
+		c.countUsage()
+	}
+}
+
 // record applies an event of an attempt to the outcome. An event that is not possible means
 // that an attempt was missed, so that the request may have run.
 func (c *call) record(e atmostonce.Event) {
@@ -249,7 +263,7 @@
 
 // cause returns the text of a failure's cause for logs and metrics.
 func cause(err error) string {
-	for _, known := range []error{errNotRun, errOtherRequest, errUnsigned, errStalled, errInterrupted, errServerFailure, errNoPromise, errConnect, errLeaving, errPrefill, errNoMemory} {
+	for _, known := range []error{errNotRun, errOtherRequest, errUnsigned, errStalled, errInterrupted, errServerFailure, errNoPromise, upstream.ErrInvalid, errConnect, errLeaving, errPrefill, errNoMemory} {
 		if errors.Is(err, known) {
 			return known.Error()
 		}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/redwingpath/redwingpath/pkg/model"
+	"github.com/redwingpath/redwingpath/pkg/upstream"
 )
 
 // maxLabels bounds the organisations, and the backend servers, that have time series of
@@ -61,7 +62,7 @@
 		resumed: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "redwingpath_streams_resumed_total", Help: "Streams that went on at another backend server."}),
 		untrusted: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "redwingpath_untrusted_responses_total", Help: "Responses that were cut, not signed or not those to the request, by backend server and cause."},
+			Name: "redwingpath_untrusted_responses_total", Help: "Responses that were cut, not valid, not signed or not those to the request, by backend server and cause."},
 			[]string{"server", "cause"}),
 		crashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "redwingpath_backend_crashes_total", Help: "Backend servers that crashed while they ran requests of this host with shared parts of prompts."}),
@@ -152,7 +153,8 @@
 // untrusted reports whether an attempt failed by a response that proves nothing about the
 // request.
 func untrusted(err error) bool {
-	return errors.Is(err, errOtherRequest) || errors.Is(err, errUnsigned) || errors.Is(err, errInterrupted)
+	return errors.Is(err, errOtherRequest) || errors.Is(err, errUnsigned) || errors.Is(err, errInterrupted) ||
+		errors.Is(err, upstream.ErrInvalid)
 }
 
 func (m *Metrics) countCrash() {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -160,7 +160,7 @@
 	if err == nil || ctx.Err() != nil {
 		return false
 	}
-	for _, other := range []error{errNotRun, errOtherRequest, errUnsigned, errStalled, errServerFailure, errNoPromise, errConnect, errLeaving, errCallerGone, errForwarded, errNoMemory, membudget.ErrExhausted} {
+	for _, other := range []error{errNotRun, errOtherRequest, errUnsigned, errStalled, errServerFailure, errNoPromise, upstream.ErrInvalid, errConnect, errLeaving, errCallerGone, errForwarded, errNoMemory, membudget.ErrExhausted} {
 		if errors.Is(err, other) {
 			return false
 		}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -135,19 +135,26 @@
 	// a response may be readable although the write failed.
 	c.header.begin(c.pool.settings)
 	response, err := http.ReadResponse(c.reader, req)
-	for err == nil && response.StatusCode >= 100 && response.StatusCode < 200 {
+	for err == nil && interim(response) {
 		response, err = http.ReadResponse(c.reader, req)
 	}
 	c.header.end()
 	if err != nil {
 		stop()
 		c.Close()
-		if writeErr != nil {
+		switch {
+		case writeErr != nil:
 			err = writeErr
+		case c.header.err == nil:
+			err = eris.Wrap(ErrInvalid, err.Error())
 		}
 		return nil, sent, eris.Wrap(err, "read the answer")
 	}
 	r := &Response{Response: response, conn: c, stop: stop}
+	if !ValidStatus(response.StatusCode) {
+		r.Abandon()
+		return nil, sent, eris.Wrap(&StatusError{Response: r}, "read the answer")
+	}
 	if writeErr != nil {
 		response.Close = true
 		if !r.Framed() {
--- a/pkg/upstream/header.go
+++ b/pkg/upstream/header.go
@@ -22,6 +22,8 @@
 	// free is the part of the header that the lease does not pay for.
 	free   int
 	memory *membudget.Lease
+	// err is the error of a read of the header, nil if all reads succeeded.
+	err error
 }
 
 const (
@@ -33,7 +35,7 @@
 
 // begin starts a header.
 func (r *headerReader) begin(s Settings) {
-	r.limited, r.remaining, r.free = true, s.MaxHeaderBytes, freeHeaderBytes
+	r.limited, r.remaining, r.free, r.err = true, s.MaxHeaderBytes, freeHeaderBytes, nil
 	r.memory = s.Memory.NewLease()
 }
 
@@ -48,6 +50,14 @@
 	if !r.limited {
 		return r.raw.Read(p)
 	}
+	n, err := r.readLimited(p)
+	if err != nil {
+		r.err = err
+	}
+	return n, err
+}
+
+func (r *headerReader) readLimited(p []byte) (int, error) {
 	if r.remaining <= 0 {
 		return 0, ErrHeaderTooLong
 	}
