Check the responses that net/http reads for engines and services

Cause: http.Transport reads a response while it writes the request. A write that fails takes the socket's pending error, so that a reset is read as the end of the stream, and a part of a body without a framing passes for the whole. http.Transport also returns any status of three digits; net/http panics when a handler writes one below 100.

Change: upstream.Transport wraps an http.Transport. The end of a connection is an error if a write to it failed; it waits for the end of a request that is still being written, since a server may end its response before. A final status outside 200 to 599 is a StatusError, which states status and header in place of the response, so that the gateway counts the usage of an invalid response only if it names the request. pkg/engine uses it for all calls, so that callers of pkg/entry get 502 or a response that breaks off, and idempotent calls are retried within their budget.

--- a/pkg/engine/conn.go
+++ b/pkg/engine/conn.go
@@ -30,6 +30,16 @@
 	closed    atomic.Bool
 }
 
+// findTrackedConn returns the tracked connection within one of net/http, nil if there is
+// none.
+func findTrackedConn(conn net.Conn) *trackedConn {
+	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = wrapped.NetConn()
+	}
+	tracked, _ := conn.(*trackedConn)
+	return tracked
+}
+
 func (t *Transports) trackConn(raw net.Conn, address string) *trackedConn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/engine/transport.go
+++ b/pkg/engine/transport.go
@@ -72,8 +72,8 @@
 type Transports struct {
 	settings TransportSettings
 	dialer   net.Dialer
-	pooled   *http.Transport
-	unpooled *http.Transport
+	pooled   *upstream.Transport
+	unpooled *upstream.Transport
 
 	mu       sync.Mutex
 	backends map[string]*backendConns
@@ -92,9 +92,10 @@
 		},
 		Control: upstream.UserTimeout(s.UserTimeout),
 	}
-	t.pooled = t.newTransport()
-	t.unpooled = t.newTransport()
-	t.unpooled.DisableKeepAlives = true
+	t.pooled = upstream.NewTransport(t.newTransport())
+	unpooled := t.newTransport()
+	unpooled.DisableKeepAlives = true
+	t.unpooled = upstream.NewTransport(unpooled)
 	return t
 }
 
@@ -127,7 +128,7 @@
 	var current atomic.Pointer[trackedConn]
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			if conn, ok := info.Conn.(*trackedConn); ok {
+			if conn := findTrackedConn(info.Conn); conn != nil {
 				conn.uses.Add(1)
 				current.Store(conn)
 			}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -101,15 +101,15 @@
 	return resp, nil
 }
 
-// countInvalidRun counts the usage of a request whose response has an invalid status but is
-// signed by the backend server, which has run the request.
+// countInvalidRun counts the usage of a request whose response has an invalid status but
+// names the request and is signed by the backend server, which has run it.
 func (c *call) countInvalidRun(err error) {
 	var invalid *upstream.StatusError
 	if !errors.As(err, &invalid) {
 		return
 	}
-	m := c.g.deps.Dialect.ResponseMetadata(invalid.Response.StatusCode, invalid.Response.Header)
-	if m.Sealed && belongsTo(c.metadata.ID, invalid.Response, m) {
+	m := c.g.deps.Dialect.ResponseMetadata(invalid.StatusCode, invalid.Header)
+	if m.Sealed && m.ID == c.metadata.ID {
 		c.countUsage()
 	}
 }
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -153,7 +153,7 @@
 	r := &Response{Response: response, conn: c, stop: stop}
 	if !ValidStatus(response.StatusCode) {
 		r.Abandon()
-		return nil, sent, eris.Wrap(&StatusError{Response: r}, "read the answer")
+		return nil, sent, eris.Wrap(&StatusError{StatusCode: r.StatusCode, Header: r.Header}, "read the answer")
 	}
 	if writeErr != nil {
 		response.Close = true
--- a/pkg/upstream/invalid.go
+++ b/pkg/upstream/invalid.go
@@ -21,13 +21,13 @@
 
 // StatusError is an ErrInvalid. It means that a response has a status that is not valid.
 type StatusError struct {
-	// Response has no body, and its connection is closed.
-	Response *Response
+	StatusCode int
+	Header     http.Header
 }
 
 // Error implements error.
 func (e *StatusError) Error() string {
-	return fmt.Sprintf("the status %d is not valid", e.Response.StatusCode)
+	return fmt.Sprintf("the status %d is not valid", e.StatusCode)
 }
 
 // Unwrap returns ErrInvalid.
