--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/redwingpath/redwingpath/pkg/model"
+	"github.com/redwingpath/redwingpath/pkg/upstream"
 )
 
 // DefaultTimeout bounds one call, not counting the time that a log read waits for
@@ -68,10 +69,10 @@
 		client.timeout = DefaultTimeout
 	}
 	if client.http == nil {
-		client.http = &http.Client{Transport: &http.Transport{
+		client.http = &http.Client{Transport: upstream.NewTransport(&http.Transport{
 			MaxIdleConnsPerHost: 8,
 			IdleConnTimeout:     30 * time.Second,
-		}}
+		})}
 	}
 	return client
 }
