Do not replay recorded outcomes with an invalid status

Change: a duplicate of such a call gets 409 with the code for an unknown outcome, which states that the call ran.

--- a/pkg/entry/idempotency.go
+++ b/pkg/entry/idempotency.go
@@ -14,6 +14,7 @@
 	"github.com/redwingpath/redwingpath/pkg/model"
 	"github.com/redwingpath/redwingpath/pkg/platform"
 	"github.com/redwingpath/redwingpath/pkg/state"
+	"github.com/redwingpath/redwingpath/pkg/upstream"
 )
 
 const (
@@ -252,6 +253,11 @@
 }
 
 func (k *keyedCall) replay(outcome *logrec.IdempotencyOutcome) error {
+	if !upstream.ValidStatus(outcome.Status) {
+		// Earlier versions recorded any status.
+		return outcomeError(http.StatusConflict, model.CodeOutcomeUnknown, model.WasRun,
+			"the call ran, but its answer was not valid; ask for the status", 0)
+	}
 	header := k.c.w.Header()
 	if outcome.ContentType != "" {
 		header.Set("Content-Type", outcome.ContentType)
--- a/pkg/entry/invalid_test.go
+++ b/pkg/entry/invalid_test.go
@@ -174,3 +174,24 @@
 		}
 	}
 }
+
+// Guards against a panic of net/http when an earlier version has recorded the response of a
+// call with an invalid status.
+func TestRecordedOutcomeWithAnInvalidStatus(t *testing.T) {
+	for _, status := range []int{0, 7, 99, 600} {
+		h := newTestHost(t, nil)
+		h.router.add(model.PoolService, "p1", newTestService(t).URL)
+		resp, body := h.postWithKey(t, "{}")
+		require.Equal(t, http.StatusCreated, resp.StatusCode, body)
+		h.waitIdle(t)
+		h.view.mu.Lock()
+		for at, entry := range h.view.idempotency {
+			entry.Outcome.Status = status
+			h.view.idempotency[at] = entry
+		}
+		h.view.mu.Unlock()
+		resp, body = h.postWithKey(t, "{}")
+		assert.Equal(t, http.StatusConflict, resp.StatusCode, body)
+		assert.Equal(t, model.WasRun, errorOf(t, body).Ran)
+	}
+}
