Explain where a request would go

Change: Fleet.Explain runs the code of Place with a trace of what it compares: each plan and each way to prefill with its cost, and for each server the work, the cached tokens, the limits and what excludes it. It changes nothing that later decisions depend on; ReturnTime is split, so that an explanation is no caller that comes back.

--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -17,6 +17,11 @@
 	if k == nil {
 		return Plan{}, false
 	}
+	return f.choose(k, r, now)
+}
+
+// choose returns the cheapest plan for a request to a service. The caller holds f.mu.
+func (f *Fleet) choose(k *service, r *Request, now time.Time) (Plan, bool) {
 	f.updatePreferences(k)
 	for _, strict := range []bool{true, false} {
 		if plan, ok := f.place(k, r, strict, now); ok {
@@ -30,6 +35,7 @@
 // then tries again with them, because a suspicion may be wrong and alone must not cause a
 // request to be rejected.
 func (f *Fleet) place(k *service, r *Request, strict bool, now time.Time) (Plan, bool) {
+	r.trace.reset()
 	d := decision{fleet: f, service: k, request: r, now: now}
 	for _, s := range k.servers {
 		if !s.accepts(r, now) || strict && now.Before(s.suspectUntil) {
@@ -72,6 +78,7 @@
 }
 
 func (d *decision) consider(p Plan, cost time.Duration) {
+	d.request.trace.addPlan(p, cost)
 	if !d.found || cost < d.cost {
 		d.best, d.cost, d.found = p, cost, true
 	}
@@ -325,6 +332,7 @@
 		if o.prefiller == home && o.fetchFrom == nil {
 			o.cost -= d.homeDiscount(d.cachedTokens(o.prefiller), StagePrefill)
 		}
+		d.request.trace.addPrefill(o)
 		if !found || o.cost < best.cost {
 			best, found = o, true
 		}
@@ -376,7 +384,7 @@
 
 // accepts reports whether a server may be sent a request, apart from its limits.
 func (s *server) accepts(r *Request, now time.Time) bool {
-	return !s.Leaving && !s.evacuated && !s.switching && !s.paused(now) && !slices.Contains(r.Exclude, s.ID) && (r.Only == "" || r.Only == s.ID)
+	return s.exclusion(r, now) == ""
 }
 
 // Accepts reports whether a server is known and accepts new requests.
--- a/pkg/placement/turns.go
+++ b/pkg/placement/turns.go
@@ -150,7 +150,11 @@
 func (f *Fleet) ReturnTime(name model.PoolName, now time.Time) (time.Time, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	k := f.service(name)
+	return f.returnTime(f.service(name), now)
+}
+
+// returnTime is ReturnTime for a service. The caller holds f.mu.
+func (f *Fleet) returnTime(k *service, now time.Time) (time.Time, bool) {
 	earliest, rate := time.Time{}, 0.0
 	for _, s := range k.servers {
 		if s.Leaving || s.evacuated || s.unlimited(now) && !s.paused(now) {
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -93,6 +93,8 @@
 	Only model.BackendID
 	// ExcludePrefill excludes plans that use a prefill engine.
 	ExcludePrefill bool
+	// trace collects what the decision compares, nil except in Explain.
+	trace *trace
 }
 
 // Plan describes how a request is served.
