Answer on the metrics port where a request would go

Change: GET /place describes a request by host, path, token counts and parts of its prompt. The gateway decides with the code of requests (choosePlan) over Fleet.Explain, so that nothing is sent or counted, and states the plans, the servers with what excludes them, and the refusal with its time that a caller would get. A field that cannot be used gets 400 with its name. Keys, quotas and crashes of the same request are not considered.

--- a/pkg/edgehost/run.go
+++ b/pkg/edgehost/run.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/redwingpath/redwingpath/pkg/callers"
+	"github.com/redwingpath/redwingpath/pkg/placequery"
 )
 
 // gcPercent lets the heap of about 10 MB triple between collections, since a collection
@@ -116,6 +117,7 @@
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", promhttp.HandlerFor(h.gatherer, promhttp.HandlerOpts{}))
 	metrics.HandleFunc("/state", h.serveState)
+	metrics.HandleFunc(placequery.Path, h.servePlace)
 	go func() { _ = http.Serve(listener, metrics) }()
 	return nil
 }
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -277,7 +277,7 @@
 	if rejected := c.rejectHeldPart(); rejected != nil {
 		return placement.Plan{}, rejected
 	}
-	plan, ok := c.g.deps.Fleet.Place(&c.placementRequest, time.Now())
+	plan, ok := c.placer().Place(&c.placementRequest, time.Now())
 	if !ok {
 		return plan, c.noServer()
 	}
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -98,6 +98,8 @@
 	configurationAge time.Duration
 	// lastPlan is the latest placement, kept for the log.
 	lastPlan placement.Plan
+	// explainer places the request if it is only asked about, nil for others.
+	explainer *explainer
 }
 
 // rejection is a final response that the host itself produces.
@@ -172,6 +174,13 @@
 	if c.service == nil {
 		return &rejection{status: http.StatusServiceUnavailable, retryAfter: time.Second, reason: "the route has no service"}
 	}
+	c.setDeadline()
+	c.urgency = c.engineUrgency()
+	return nil
+}
+
+// setDeadline sets the deadline from the limit of the route and that of the caller.
+func (c *call) setDeadline() {
 	limit := c.route.Timeout
 	if c.metadata.Deadline > 0 && (limit <= 0 || c.metadata.Deadline < limit) {
 		limit = c.metadata.Deadline
@@ -180,8 +189,6 @@
 		limit = time.Minute
 	}
 	c.deadline = c.arrived.Add(limit - c.g.settings.TimeoutMargin)
-	c.urgency = c.engineUrgency()
-	return nil
 }
 
 // findRouteAndKey determines the route and the organisation of the request by the
--- a/pkg/gateway/notices.go
+++ b/pkg/gateway/notices.go
@@ -41,7 +41,7 @@
 // pauses of the servers stand against it, the caller is asked to come back when its turn is.
 func (c *call) noServer() *rejection {
 	now := time.Now()
-	if at, ok := c.g.deps.Fleet.ReturnTime(c.service.Name, now); ok {
+	if at, ok := c.placer().ReturnTime(c.service.Name, now); ok {
 		return &rejection{status: http.StatusServiceUnavailable, retryAfter: max(at.Sub(now), c.g.settings.MinRetryAfter), reason: "the backend servers take no more requests now"}
 	}
 	return &rejection{status: http.StatusServiceUnavailable, retryAfter: time.Second, reason: "no backend server is available"}
--- a/pkg/gateway/report.go
+++ b/pkg/gateway/report.go
@@ -15,9 +15,15 @@
 // retryAfter clamps a retry delay and adds jitter, so that callers that are rejected at
 // the same time do not retry at the same time.
 func (c *call) retryAfter(d time.Duration) time.Duration {
+	d = c.clampRetryAfter(d)
+	return d + time.Duration(rand.Float64()*0.5*float64(min(d, c.g.settings.MaxRetryAfter)))
+}
+
+// clampRetryAfter returns a retry delay within the limits of the settings. No caller is asked
+// to come back while all servers want no requests.
+func (c *call) clampRetryAfter(d time.Duration) time.Duration {
 	s := c.g.settings
-	d = max(min(max(d, s.MinRetryAfter), s.MaxRetryAfter), c.pauseLeft())
-	return d + time.Duration(rand.Float64()*0.5*float64(min(d, s.MaxRetryAfter)))
+	return max(min(max(d, s.MinRetryAfter), s.MaxRetryAfter), c.pauseLeft())
 }
 
 // reject writes a rejection to the caller.
