Add redwingctl place

Change: the command asks the metrics port of a host where a request would go now, and prints the answer as a table or JSON. Bad input is wrong usage (exit code 2) and names the field.

--- a/cmd/redwingctl/connection.go
+++ b/cmd/redwingctl/connection.go
@@ -41,9 +41,17 @@
 	return []ff.Option{ff.WithEnvVarPrefix("REDWINGCTL")}
 }
 
-func (c *connection) client() (*operator.Client, error) {
+// checkOutput returns an error if the output format is not known.
+func (c *connection) checkOutput() error {
 	if c.output != outputTable && c.output != outputJSON {
-		return nil, eris.Wrapf(errUsage, "output %q is not table or json", c.output)
+		return eris.Wrapf(errUsage, "output %q is not table or json", c.output)
+	}
+	return nil
+}
+
+func (c *connection) client() (*operator.Client, error) {
+	if err := c.checkOutput(); err != nil {
+		return nil, err
 	}
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	if c.caFile != "" {
--- a/cmd/redwingctl/main.go
+++ b/cmd/redwingctl/main.go
@@ -70,6 +70,7 @@
 		dumpCommand(std),
 		statusCommand(std),
 		whyCommand(std),
+		placeCommand(std),
 		dayCommand(std),
 		keygenCommand(std),
 	}
--- a/cmd/redwingctl/main_test.go
+++ b/cmd/redwingctl/main_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -17,6 +18,8 @@
 	"go.uber.org/goleak"
 
 	"github.com/redwingpath/redwingpath/pkg/operator"
+	"github.com/redwingpath/redwingpath/pkg/placement"
+	"github.com/redwingpath/redwingpath/pkg/placequery"
 )
 
 func TestMain(m *testing.M) {
@@ -34,6 +37,7 @@
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("REDWINGCTL_ADDRESS", server.URL)
 			env.Setenv("REDWINGCTL_TOKEN", "secret")
+			env.Setenv("REDWINGCTL_METRICS_ADDRESS", server.URL)
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
@@ -66,6 +70,10 @@
 		respond(w, http.StatusOK, map[string]int{"tick": 7})
 		return
 	}
+	if r.URL.Path == placequery.Path {
+		fakePlace(w, r)
+		return
+	}
 	var request operator.RunRequest
 	_ = json.NewDecoder(r.Body).Decode(&request)
 	failures := map[string]operator.Error{
@@ -88,6 +96,28 @@
 	}}})
 }
 
+// fakePlace answers a placement query; the path /none/ has no route.
+func fakePlace(w http.ResponseWriter, r *http.Request) {
+	query, err := placequery.ParseRaw(r.URL.RawQuery)
+	var field *placequery.FieldError
+	if err == nil && query.Path == "/none/" {
+		err = &placequery.FieldError{Field: placequery.FieldPath, Message: "no route matches"}
+	}
+	if errors.As(err, &field) {
+		respond(w, http.StatusBadRequest, placequery.Failure{Error: *field})
+		return
+	}
+	if query.Path == "/starting/" {
+		respond(w, http.StatusServiceUnavailable, placequery.Failure{Error: placequery.FieldError{Message: "no configuration is known yet"}})
+		return
+	}
+	plan := placequery.Plan{Run: "i-7", PredictedMS: 210, Uncached: query.PromptTokens}
+	respond(w, http.StatusOK, placequery.Answer{
+		Route: "say", Service: "model", Plan: &plan, Plans: []placequery.Plan{plan},
+		Servers: []placequery.Server{{ID: "i-7", KVTokens: 444000}, {ID: "i-8", Excluded: placement.ExcludedLeaving}},
+	})
+}
+
 func respond(w http.ResponseWriter, status int, body any) {
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body)
@@ -116,7 +146,7 @@
 
 // Guards against a command without help.
 func TestEveryCommandHasHelp(t *testing.T) {
-	for _, name := range []string{"run", "query", "explain", "dump", "status", "keygen"} {
+	for _, name := range []string{"run", "query", "explain", "dump", "status", "place", "keygen"} {
 		var errOut bytes.Buffer
 		code := run(t.Context(), []string{name, "-h"}, &streams{in: os.Stdin, out: &bytes.Buffer{}, err: &errOut})
 		assert.Equal(t, exitDone, code, name)
