Test early responses of servers that stop reading, and fuzz statuses

A server that responds early and then neither reads the upload nor closes the connection is answered with 504 at the deadline.

--- a/pkg/gateway/unfinished_test.go
+++ b/pkg/gateway/unfinished_test.go
@@ -142,3 +142,36 @@
 		assert.Empty(t, r.Header.Get("X-Cache"))
 	}
 }
+
+// Guards against waiting beyond the deadline for a server that responds early and then
+// neither reads the upload nor closes the connection, and against forwarding its response.
+func TestServerThatRespondsEarlyAndStopsReading(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	ended := make(chan struct{})
+	t.Cleanup(func() { close(ended) })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = fmt.Fprintf(conn, signedHead+"\r\npart", r.Header.Get("X-Id"))
+				}
+				<-ended
+			}()
+		}
+	}()
+	server := &backendServer{id: "a", address: listener.Addr().String()}
+	bed := newTestbed(t, nil, server.plain())
+	began := time.Now()
+	status, body, err := upload(t, bed, "/pay/", longestBody, false)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusGatewayTimeout, status)
+	assert.NotContains(t, body, "part")
+	assert.Less(t, time.Since(began), 2*time.Second, "the route allows one second")
+}
--- a/pkg/upstream/endless_test.go
+++ b/pkg/upstream/endless_test.go
@@ -113,7 +113,7 @@
 }
 
 func FuzzAnswerHead(f *testing.F) {
-	for _, seed := range []string{okResponse, "HTTP/1.1 100 Continue\r\n\r\n" + okResponse, "HTTP/1.1 200 OK\r\nX: ", "\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"} {
+	for _, seed := range []string{okResponse, "HTTP/1.1 100 Continue\r\n\r\n" + okResponse, "HTTP/1.1 200 OK\r\nX: ", "\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 000 X\r\n\r\n", "HTTP/1.1 199 X\r\nContent-Length: 1\r\n\r\na", "HTTP/1.1 600 X\r\n\r\n"} {
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, response string) {
@@ -131,6 +131,7 @@
 		if err != nil {
 			return
 		}
+		assert.True(t, ValidStatus(resp.StatusCode), resp.StatusCode)
 		if body, err := resp.ReadAll(1<<20, noLimit.NewLease()); err == nil {
 			assert.LessOrEqual(t, len(body), len(response))
 		}
