Merge the checks of invalid responses and redwingctl place

Cause: a body without a framing whose request could not be written whole passed for complete, statuses outside 200 to 599 were forwarded or made net/http panic, and nobody could ask a host where a request would go.

Change: both edges answer 502 or break the stream off; redwingctl place asks a host with the code that places requests.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -73,6 +73,7 @@
 			c.record(atmostonce.EventRefusal)
 			return nil, eris.Wrap(errConnect, err.Error())
 		}
+		c.countInvalidRun(err)
 		return nil, err
 	}
 	respMetadata := c.g.deps.Dialect.ResponseMetadata(resp.StatusCode, resp.Header)
@@ -100,6 +101,19 @@
 	return resp, nil
 }
 
+// countInvalidRun counts the usage of a request whose response has an invalid status but
+// names the request and is signed by the backend server, which has run it.
+func (c *call) countInvalidRun(err error) {
+	var invalid *upstream.StatusError
+	if !errors.As(err, &invalid) {
+		return
+	}
+	m := c.g.deps.Dialect.ResponseMetadata(invalid.StatusCode, invalid.Header)
+	if m.Sealed && m.ID == c.metadata.ID {
+		c.countUsage()
+	}
+}
+
 // record applies an event of an attempt to the outcome. An event that is not possible means
 // that an attempt was missed, so that the request may have run.
 func (c *call) record(e atmostonce.Event) {
@@ -249,7 +263,7 @@
 
 // cause returns the text of a failure's cause for logs and metrics.
 func cause(err error) string {
-	for _, known := range []error{errNotRun, errOtherRequest, errUnsigned, errStalled, errInterrupted, errServerFailure, errNoPromise, errConnect, errLeaving, errPrefill, errNoMemory} {
+	for _, known := range []error{errNotRun, errOtherRequest, errUnsigned, errStalled, errInterrupted, errServerFailure, errNoPromise, upstream.ErrInvalid, errConnect, errLeaving, errPrefill, errNoMemory} {
 		if errors.Is(err, known) {
 			return known.Error()
 		}
@@ -263,7 +277,7 @@
 	if rejected := c.rejectHeldPart(); rejected != nil {
 		return placement.Plan{}, rejected
 	}
-	plan, ok := c.g.deps.Fleet.Place(&c.placementRequest, time.Now())
+	plan, ok := c.placer().Place(&c.placementRequest, time.Now())
 	if !ok {
 		return plan, c.noServer()
 	}
@@ -291,7 +305,7 @@
 	}
 	r := c.placementRequest
 	r.IgnorePace = true
-	return c.g.deps.Fleet.Place(&r, time.Now())
+	return c.placer().Place(&r, time.Now())
 }
 
 // initPlacement sets the placement request from the route and the caller's metadata.
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -95,6 +95,8 @@
 	ExcludePrefill bool
 	// IgnorePace is set if the request would be refused because of the servers' paces.
 	IgnorePace bool
+	// trace collects what the decision compares, nil except in Explain.
+	trace *trace
 }
 
 // Plan describes how a request is served.
