Keep what is in force when the store returns an older copy

Cause: a listing of a restored store has older configurations, servers that had left, and lacks entries and evacuations that were acknowledged.

Change: in eras after the first a table keeps a value that outranks the store's, and passes it on: a higher version of the configuration, a leaving server or a newer life. A table that begins with a listing of a restored store is merged with the copies of two peers. A lost evacuation lasts 5 s more. Hosts write their entries again, log the change of the era, count it and export it.

--- a/pkg/edgehost/configuration.go
+++ b/pkg/edgehost/configuration.go
@@ -28,6 +28,11 @@
 		equal = h.sameRegistration
 	}
 	table := mirror.NewTable(equal)
+	if topic == TopicBackends {
+		table.KeepOutranking(h.outranksRegistration)
+	} else {
+		table.KeepOutranking(h.outranksConfiguration)
+	}
 	h.tables[topic] = table
 	f := &mirror.Follower{
 		Topic: topic, Table: table, Store: h.platform, Wait: wait, Interval: interval, Log: h.log,
@@ -69,6 +74,29 @@
 	return a == b
 }
 
+// outranksRegistration reports whether a registration stays in force although a restored store
+// has another one: a leaving server does not return in the same life, nor does an earlier
+// life.
+func (h *Host) outranksRegistration(id string, known, other []byte) bool {
+	a, errA := h.platform.Backend(id, known)
+	b, errB := h.platform.Backend(id, other)
+	if errA != nil || errB != nil {
+		return false
+	}
+	return a.Born > b.Born || a.Born == b.Born && a.Service == b.Service && a.Leaving && !b.Leaving
+}
+
+// outranksConfiguration reports whether a record of the configuration's topic stays in force
+// although a restored store has another one, or none: versions do not go back.
+func (h *Host) outranksConfiguration(key string, known, other []byte) bool {
+	if key != configurationKey {
+		return false
+	}
+	a, errA := h.platform.DecodeConfiguration(known)
+	b, errB := h.platform.DecodeConfiguration(other)
+	return errA == nil && (errB != nil || a.Version > b.Version)
+}
+
 // maxPeerTableAge is the age at which a table that peers keep up to date counts as stale,
 // not counting the intervals of two exchanges with peers. It is the time between two reads
 // of the store by a peer.
@@ -96,9 +124,11 @@
 
 // applyRecords applies changed records from the store or from a peer.
 func (h *Host) applyRecords(topic string, records []mirror.Record) {
+	h.noteEra()
 	switch topic {
 	case TopicConfiguration:
-		h.applyEvacuations()
+		h.applyEvacuations(time.Now())
+		h.reconsiderConfiguration(records)
 		h.applyConfiguration()
 	case TopicBackends:
 		h.registry.noteUpToDate(h.tables[topic].UpToDateAt())
@@ -109,6 +139,19 @@
 // configurationKey is the key of the configuration in its topic.
 const configurationKey = "config"
 
+// reconsiderConfiguration makes applyConfiguration handle the record of the configuration
+// again if it changed at a position that was handled: a peer's copy may have had a higher
+// version at the position of the one that a restored store returned.
+func (h *Host) reconsiderConfiguration(changed []mirror.Record) {
+	h.configurationMu.Lock()
+	defer h.configurationMu.Unlock()
+	for _, r := range changed {
+		if r.Key == configurationKey && r.Offset < h.appliedOffset.Load() {
+			h.appliedOffset.Store(r.Offset)
+		}
+	}
+}
+
 // applyConfiguration puts the newest configuration in force. Configurations whose
 // version is not higher than the current one are ignored.
 func (h *Host) applyConfiguration() {
--- a/pkg/edgehost/evacuation.go
+++ b/pkg/edgehost/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -13,18 +14,58 @@
 // the evacuation by removing it. Hosts copy that topic from the store and from each other
 // within the bound on configurations, which is below the one on evacuations.
 
-// applyEvacuations puts the evacuations in force that the copy of the topic has.
-func (h *Host) applyEvacuations() {
+// lostEvacuationTime is how long an evacuation stays in force that a restored store lacks. The
+// operator writes lost keys again within that time.
+const lostEvacuationTime = 5 * time.Second
+
+// lostEvacuations are the evacuations that a restored store lacks. Host.configurationMu guards
+// them.
+type lostEvacuations struct {
+	// era is that of the copy of the topic when evacuations were last applied.
+	era uint64
+	// until is when they end.
+	until map[model.DataCentreID]time.Time
+}
+
+// update takes the evacuations that a copy of an era has and those that were in force before,
+// and returns those that are in force now.
+func (l *lostEvacuations) update(era uint64, stated, former []model.DataCentreID, now time.Time) []model.DataCentreID {
+	if l.until == nil {
+		l.until = map[model.DataCentreID]time.Time{}
+	}
+	if era != l.era {
+		l.era = era
+		for _, dc := range former {
+			l.until[dc] = now.Add(lostEvacuationTime)
+		}
+	}
+	inForce := slices.Clone(stated)
+	for dc, until := range l.until {
+		if slices.Contains(stated, dc) || !now.Before(until) {
+			delete(l.until, dc)
+			continue
+		}
+		inForce = append(inForce, dc)
+	}
+	slices.Sort(inForce)
+	return inForce
+}
+
+// applyEvacuations puts the evacuations in force that the copy of the topic has, and those that
+// a restored store lost shortly before.
+func (h *Host) applyEvacuations(now time.Time) {
 	h.configurationMu.Lock()
 	defer h.configurationMu.Unlock()
-	centres := []model.DataCentreID{}
-	for _, key := range h.tables[TopicConfiguration].Keys() {
+	table := h.tables[TopicConfiguration]
+	stated := []model.DataCentreID{}
+	for _, key := range table.Keys() {
 		if dc, ok := h.platform.EvacuatedDataCentre(key); ok {
-			centres = append(centres, dc)
+			stated = append(stated, dc)
 		}
 	}
-	slices.Sort(centres)
-	former := *h.evacuated.Swap(&centres)
+	former := *h.evacuated.Load()
+	centres := h.lostEvacuations.update(table.Era(), stated, former, now)
+	h.evacuated.Store(&centres)
 	if slices.Equal(former, centres) {
 		return
 	}
--- a/pkg/edgehost/host.go
+++ b/pkg/edgehost/host.go
@@ -58,7 +58,11 @@
 	// switching lists the engines that this host has ordered to change their stage.
 	switching atomic.Pointer[[]model.BackendID]
 	// evacuated are the data centres that are evacuated, ordered by name.
-	evacuated atomic.Pointer[[]model.DataCentreID]
+	evacuated       atomic.Pointer[[]model.DataCentreID]
+	lostEvacuations lostEvacuations
+	era             eraObserver
+	// rewriteEntry holds a value if the host's entry in the store is to be written again.
+	rewriteEntry chan struct{}
 	// configurationMu serialises applyConfiguration and applyEvacuations, so that records
 	// are not applied out of order.
 	configurationMu sync.Mutex
@@ -123,6 +127,7 @@
 	h.switching.Store(&[]model.BackendID{})
 	h.evacuated.Store(&[]model.DataCentreID{})
 	h.successor.Store(new(string))
+	h.rewriteEntry = make(chan struct{}, 1)
 	h.metrics = newHostMetrics(h.gatherer)
 	h.gatherer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "redwingpath_configuration_age_seconds", Help: "Time since the configuration in force was last known to be the newest."},
--- a/pkg/edgehost/members.go
+++ b/pkg/edgehost/members.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/redwingpath/redwingpath/pkg/mesh"
+	"github.com/redwingpath/redwingpath/pkg/pause"
 )
 
 // Timing of the calls that concern the list of hosts in the store.
@@ -20,25 +21,38 @@
 	// membersInterval is the pause between reads of the list of hosts. Hosts also learn of
 	// new ones from their peers.
 	membersInterval = 30 * time.Second
+	// maxRewriteDelay spreads the writes of all hosts after the store was restored.
+	maxRewriteDelay = time.Second
 )
 
 // maintainMembers writes the host's address to the store and regularly reads those of
-// the others.
+// the others. It writes the address again after the store was restored from a copy, which may
+// lack it.
 func (h *Host) maintainMembers(ctx context.Context) {
 	written := false
 	for ctx.Err() == nil {
-		pause := membersInterval
+		delay := membersInterval
 		if !written {
 			written = h.writeEntry(ctx, h.self)
 		}
 		if !h.readEntries(ctx) || !written {
-			pause = memberRetryDelay + rand.N(memberRetryDelay)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
+			delay = memberRetryDelay + rand.N(memberRetryDelay)
 		}
+		written = h.waitForRewrite(ctx, delay) && written
+	}
+}
+
+// waitForRewrite waits for a time. It returns false, earlier, if the host's entry is to be
+// written again.
+func (h *Host) waitForRewrite(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	case <-h.rewriteEntry:
+		_ = pause.For(ctx, rand.N(maxRewriteDelay))
+		return false
 	}
+	return true
 }
 
 func (h *Host) writeEntry(ctx context.Context, m mesh.Member) bool {
--- a/pkg/edgehost/metrics.go
+++ b/pkg/edgehost/metrics.go
@@ -11,6 +11,8 @@
 	usageReports         *prometheus.CounterVec
 	dutyHolder           prometheus.Gauge
 	evacuated            prometheus.Gauge
+	storeEra             prometheus.Gauge
+	storeEraChanges      prometheus.Counter
 }
 
 func newHostMetrics(r prometheus.Registerer) *hostMetrics {
@@ -31,7 +33,11 @@
 			Name: "redwingpath_duty_holder", Help: "Whether this host holds the duties."}),
 		evacuated: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "redwingpath_evacuated_data_centres", Help: "Data centres whose servers get no requests because the operator evacuates them."}),
+		storeEra: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "redwingpath_store_era", Help: "Number of times that the store was restored from an older copy."}),
+		storeEraChanges: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "redwingpath_store_era_changes_total", Help: "Changes of the store's era that this host has seen."}),
 	}
-	r.MustRegister(m.configurationVersion, m.storeUp, m.unreadableRecords, m.connections, m.messages, m.usageReports, m.dutyHolder, m.evacuated)
+	r.MustRegister(m.configurationVersion, m.storeUp, m.unreadableRecords, m.connections, m.messages, m.usageReports, m.dutyHolder, m.evacuated, m.storeEra, m.storeEraChanges)
 	return m
 }
--- a/pkg/edgehost/registry.go
+++ b/pkg/edgehost/registry.go
@@ -35,8 +35,59 @@
 	// upToDateAt is the latest time as of which the store's state is known, from this
 	// host's own reads or a peer's message.
 	upToDateAt time.Time
-	// storeRecoveredAt is when updates resumed after the last outage.
+	// storeRecoveredAt is when updates resumed after the last outage, or when the store was
+	// last restored from an older copy.
 	storeRecoveredAt time.Time
+	// eraKnown is set once an era was noted. era is the newest one, which began at
+	// eraChangedAt or before this host knew one.
+	eraKnown     bool
+	era          uint64
+	eraChangedAt time.Time
+	// gone are the lives of servers that were removed, by key.
+	gone map[string]goneLife
+}
+
+// goneLife is the life of a server that was removed.
+type goneLife struct {
+	born int64
+	// leaving is set if the server was leaving, which is final.
+	leaving bool
+	// era is that of the store when the server was removed, at is the time.
+	era uint64
+	at  time.Time
+}
+
+const (
+	// goneTTL is how long the lives of removed servers are kept. A store that is restored is
+	// some seconds old.
+	goneTTL = 5 * time.Minute
+	// confirmTime is how long a restored store may list a server that had gone before. An entry
+	// without heartbeats lapses within it.
+	confirmTime = 5 * time.Second
+)
+
+// noteEra notes the era of a complete copy of the registrations. Shortly after a restore an
+// entry may be missing because the store has lost it.
+func (r *registry) noteEra(era uint64, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case !r.eraKnown:
+		r.eraKnown, r.era = true, era
+	case era > r.era:
+		r.era, r.eraChangedAt, r.storeRecoveredAt = era, now, now
+	}
+}
+
+// staysGone reports whether a registration is of a life that had gone before the store was
+// restored. A life that was leaving does not come back at all. Another one may do so once the
+// store has listed it for confirmTime: the server lives, and had gone for lack of heartbeats.
+func (r *registry) staysGone(key string, born int64, now time.Time) bool {
+	life, ok := r.gone[key]
+	if !ok || life.born != born || r.era == 0 {
+		return false
+	}
+	return life.leaving || life.era < r.era && now.Sub(r.eraChangedAt) < confirmTime
 }
 
 // registryEntry is a known backend server.
@@ -82,7 +133,7 @@
 		if err != nil {
 			r.countUnreadable()
 			r.log.Warn("a backend server's entry is not usable", zap.String("backend", record.Key), zap.Error(err))
-			r.remove(record.Key, "its entry is not usable")
+			r.remove(record.Key, "its entry is not usable", now)
 			continue
 		}
 		r.update(record.Key, registration, now)
@@ -93,6 +144,10 @@
 func (r *registry) update(key string, n Registration, now time.Time) {
 	old := r.entries[key]
 	n.Incarnation = n.Born
+	if old == nil && r.staysGone(key, n.Born, now) {
+		r.log.Info("backend server stays out of use: it had gone before the store was restored", zap.String("backend", key))
+		return
+	}
 	if old != nil && old.Born == n.Born && old.Leaving && old.Service == n.Service {
 		// A leaving server does not return in the same incarnation.
 		n.Leaving = true
@@ -104,6 +159,7 @@
 	if old != nil && old.Born != n.Born {
 		r.fleet.Remove(old.ID)
 	}
+	delete(r.gone, key)
 	r.entries[key] = &registryEntry{Registration: n}
 	switch {
 	case old == nil || old.Born != n.Born:
@@ -167,15 +223,19 @@
 		r.log.Info("backend server's entry lapsed around an outage of the store", zap.String("backend", key))
 		return
 	}
-	r.remove(key, "its entry was removed")
+	r.remove(key, "its entry was removed", now)
 }
 
-func (r *registry) remove(key, reason string) {
+func (r *registry) remove(key, reason string, now time.Time) {
 	e := r.entries[key]
 	if e == nil {
 		return
 	}
 	delete(r.entries, key)
+	if r.gone == nil {
+		r.gone = map[string]goneLife{}
+	}
+	r.gone[key] = goneLife{born: e.Born, leaving: e.Leaving, era: r.era, at: now}
 	r.wakeMesh()
 	r.fleet.Remove(e.ID)
 	r.invalidateConnections(e.Address)
@@ -189,11 +249,30 @@
 	defer r.mu.Unlock()
 	for key, e := range r.entries {
 		if !e.lapsedAt.IsZero() && now.Sub(r.storeRecoveredAt) >= lapseGrace {
-			r.remove(key, "its entry has not reappeared after the outage of the store")
+			r.remove(key, "its entry has not reappeared after the outage of the store", now)
+		}
+	}
+	for key, life := range r.gone {
+		if now.Sub(life.at) > goneTTL {
+			delete(r.gone, key)
+		} else if life.era < r.era && r.entries[key] == nil {
+			r.reconsider(key, life, now)
 		}
 	}
 }
 
+// reconsider takes the server of a life that was gone into use again if the restored store has
+// listed it for long enough. The caller holds r.mu.
+func (r *registry) reconsider(key string, life goneLife, now time.Time) {
+	record, ok := r.newest(key)
+	if !ok || record.Removed() || r.staysGone(key, life.born, now) {
+		return
+	}
+	if n, err := r.platform.Backend(key, record.Value); err == nil {
+		r.update(key, n, now)
+	}
+}
+
 // count returns the number of known servers.
 func (r *registry) count() int {
 	r.mu.Lock()
--- a/pkg/edgehost/run.go
+++ b/pkg/edgehost/run.go
@@ -170,8 +170,10 @@
 		case now := <-summary.C:
 			h.summarise(now)
 		case now := <-ticker.C:
+			h.noteEra()
 			h.registry.noteUpToDate(h.tables[TopicBackends].UpToDateAt())
 			h.registry.sweep(now)
+			h.applyEvacuations(now)
 			rank, hosts := h.mesh.RankInDataCentre()
 			h.fleet.SetHostPosition(rank, hosts)
 			h.updateLimitUsers()
--- a/pkg/mesh/copies.go
+++ b/pkg/mesh/copies.go
@@ -48,7 +48,8 @@
 		if !statedAt.IsZero() {
 			upToDateAt = statedAt.Add(-c.Age)
 		}
-		if table.ConfirmUpToDate(c.End, upToDateAt) {
+		merge := table.WantsMerge(from.Host)
+		if table.ConfirmUpToDate(c.End, upToDateAt) && !merge {
 			continue
 		}
 		if !m.pulls.begin(topic, from.Host, now) {
@@ -56,18 +57,20 @@
 		}
 		go func() {
 			defer m.pulls.end(topic, from.Host)
-			if err := m.pullRecords(ctx, from.Address, topic, table, c.End, upToDateAt); err != nil {
+			if err := m.pullRecords(ctx, from.Address, topic, table, c.End, upToDateAt, merge); err != nil {
 				m.deps.Log.Debug("pulling records from a peer failed", zap.String("topic", topic), zap.Error(err))
+			} else if merge {
+				table.Merged(from.Host)
 			}
 		}()
 	}
 }
 
 // pullRecords fetches from a peer the records that this host's copy lacks. The peer's copy
-// had all changes before end, and was up to date at a time.
-func (m *Mesh) pullRecords(ctx context.Context, address, topic string, table *mirror.Table, end uint64, upToDateAt time.Time) error {
+// had all changes before end, and was up to date at a time. whole fetches all its records.
+func (m *Mesh) pullRecords(ctx context.Context, address, topic string, table *mirror.Table, end uint64, upToDateAt time.Time, whole bool) error {
 	args := RecordsArgs{Topic: topic, From: table.End()}
-	if !table.Complete() {
+	if whole || !table.Complete() {
 		args.From = 0
 	}
 	reply, err := m.transport.records(ctx, address, args)
--- a/pkg/mirror/table.go
+++ b/pkg/mirror/table.go
@@ -4,17 +4,21 @@
 package mirror
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/redwingpath/redwingpath/pkg/logpos"
 )
 
 // Record is the newest record of a key. Its fields are exported for net/rpc.
 type Record struct {
 	Key string
 	// Value is empty if the key was removed.
-	Value  []byte
+	Value []byte
+	// Offset is the record's position (package logpos).
 	Offset uint64
 }
 
@@ -37,6 +41,9 @@
 	// equivalent reports whether two values of a key have the same meaning. If it is
 	// nil, all changes are significant.
 	equivalent func(key string, old, new []byte) bool
+	// outranks reports whether a value stays in force although a restored store has another
+	// one for its key. If it is nil, the store's value counts.
+	outranks func(key string, known, other []byte) bool
 	// significant is the offset of the last significant change of each key.
 	significant map[string]uint64
 	// significantEnd is the offset after the last significant change, or the end of a later
@@ -51,8 +58,17 @@
 	upToDateAt time.Time
 	// lastRead is when this host itself last read the store.
 	lastRead time.Time
+	// mergesWanted is the number of peers whose whole copies the table is still to be merged
+	// with, and merged are those that it was merged with.
+	mergesWanted int
+	merged       map[string]bool
 }
 
+// mergesAtStart is the number of peers whose copies a table is merged with that began with a
+// listing of a restored store. The listing may lack what the store has lost and running hosts
+// still have in force. One of two peers has usually run for longer than this host.
+const mergesAtStart = 2
+
 // NewTable returns an empty table. equivalent reports whether two values of a key have
 // the same meaning, so that the newer one need not be passed on to peers. It may be nil.
 func NewTable(equivalent func(key string, old, new []byte) bool) *Table {
@@ -61,6 +77,14 @@
 	}
 }
 
+// KeepOutranking sets how the table resolves what a restore of the store has lost. In eras
+// after the first, a value is replaced only if it does not outrank the new one, which is empty
+// if the key was removed; otherwise the table keeps it and passes it on at the position of
+// the new one. It must be called before the table is used.
+func (t *Table) KeepOutranking(outranks func(key string, known, other []byte) bool) {
+	t.outranks = outranks
+}
+
 // End returns the offset before which the table has all significant changes.
 func (t *Table) End() uint64 {
 	t.mu.RLock()
@@ -89,6 +113,27 @@
 	return t.lastRead
 }
 
+// Era returns the store's era as of the end of the table.
+func (t *Table) Era() uint64 { return logpos.Era(t.End()) }
+
+// WantsMerge reports whether the table is to be merged with the whole copy of a peer.
+func (t *Table) WantsMerge(peer string) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.mergesWanted > 0 && !t.merged[peer]
+}
+
+// Merged records that the table has taken the whole copy of a peer.
+func (t *Table) Merged(peer string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.mergesWanted == 0 || t.merged[peer] {
+		return
+	}
+	t.mergesWanted--
+	t.merged[peer] = true
+}
+
 // ConfirmUpToDate reports whether the table has all significant changes before an offset. If
 // so, it records that the table was up to date at a time, as a peer's copy was whose changes
 // end at that offset.
@@ -135,6 +180,9 @@
 func (t *Table) applyListing(records []Record, end uint64, began, now time.Time) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.complete && logpos.Era(end) > 0 {
+		t.mergesWanted, t.merged = mergesAtStart, map[string]bool{}
+	}
 	changed := t.snapshotLocked(records, end, now)
 	t.lastRead = began
 	t.confirmLocked(began)
@@ -166,7 +214,7 @@
 			continue
 		}
 		if t.put(r, significant, now) {
-			changed = append(changed, r)
+			changed = append(changed, t.records[r.Key])
 		}
 	}
 	t.end = max(t.end, end)
@@ -185,7 +233,10 @@
 func (t *Table) put(r Record, significant bool, now time.Time) bool {
 	old, known := t.records[r.Key]
 	if known && old.Offset >= r.Offset {
-		return false
+		return t.adopt(old, r)
+	}
+	if known && t.kept(old, r) {
+		r.Value = old.Value
 	}
 	t.records[r.Key] = r
 	if !significant && known && !old.Removed() && !r.Removed() && t.equivalent != nil && t.equivalent(r.Key, old.Value, r.Value) {
@@ -200,6 +251,25 @@
 	return true
 }
 
+// kept reports whether the value of a known record stays in force when the table takes a newer
+// record of its key. The caller holds t.mu.
+func (t *Table) kept(known, newer Record) bool {
+	return t.outranks != nil && logpos.Era(newer.Offset) > 0 && !known.Removed() && !bytes.Equal(known.Value, newer.Value) &&
+		t.outranks(known.Key, known.Value, newer.Value)
+}
+
+// adopt takes the value of a record that is not newer than the known one of its key if it
+// outranks that one's: a peer may know of a value that a restored store has lost. The caller
+// holds t.mu.
+func (t *Table) adopt(known, other Record) bool {
+	if known.Removed() || other.Removed() || !t.kept(other, known) {
+		return false
+	}
+	known.Value = other.Value
+	t.records[known.Key] = known
+	return true
+}
+
 // Snapshot replaces the table with the newest records of all keys, as of the offset end,
 // and returns the records that made a significant change. Keys that the snapshot lacks
 // are removed, unless the snapshot is older than the table; such a late snapshot does not
@@ -221,7 +291,7 @@
 			continue
 		}
 		if t.put(r, false, now) {
-			changed = append(changed, r)
+			changed = append(changed, t.records[r.Key])
 		}
 	}
 	for key, r := range t.records {
@@ -232,7 +302,7 @@
 		if end < t.end || !t.put(gone, false, now) {
 			continue
 		}
-		changed = append(changed, gone)
+		changed = append(changed, t.records[key])
 	}
 	if !t.complete || end > t.end {
 		// There may be removals before the end that the table does not have, which are
