Keep one holder and one set of figures across restores of the log

Cause: a restored log of the duties lacks claims and figures that were acknowledged, and may take records that were written for an earlier era.

Change: a claim counts only at the position that its fencing token states, and a record renews a lease only where it was sent to. A holder whose lease runs claims again at once; one whose lease has ended gives the duties up. Known figures are written again. A claim of a later era states the newest window whose figures may be lost; such windows are abandoned if nobody knows their figures. The holder announces the newest window that it has fixed, a former holder goes on doing so after a restore. A next holder that has heard no such final word also abandons what may have been fixed until it saw the new era.

With the check of claims, the end of a lapsed lease, or the abandoned windows taken out, it or another of the new tests fails. Without the check of the position in the lease none fails: the end of a lapsed lease covers the same case. go test -race of pkg/duty and pkg/edgehost passes.

--- a/pkg/duty/duty.go
+++ b/pkg/duty/duty.go
@@ -9,6 +9,9 @@
 // from when the append was sent. Another host claims the duties only after the log has not
 // grown for longer than a lease, so that a holder which cannot write stops by its own clock
 // before it is replaced.
+//
+// Offsets are positions (package logpos), which rise when a restore of the log from an older
+// copy begins a new era; era.go has what follows from a restore.
 package duty
 
 import (
@@ -23,6 +26,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/redwingpath/redwingpath/pkg/logpos"
 	"github.com/redwingpath/redwingpath/pkg/model"
 	"github.com/redwingpath/redwingpath/pkg/usagewindow"
 )
@@ -66,14 +70,18 @@
 
 // Record is a record of the log.
 type Record struct {
-	ID          string                         `json:"id"`
-	Kind        Kind                           `json:"kind"`
-	Host        string                         `json:"host"`
-	Incarnation string                         `json:"incarnation"`
-	Fence       uint64                         `json:"fence,omitempty"`
-	Window      int64                          `json:"window,omitempty"`
-	Counts      map[model.OrganisationID]int64 `json:"counts"`
-	Deposits    []usagewindow.Deposit          `json:"deposits,omitempty"`
+	ID          string `json:"id"`
+	Kind        Kind   `json:"kind"`
+	Host        string `json:"host"`
+	Incarnation string `json:"incarnation"`
+	// Fence is the fencing token of a claim, and in eras after the first of the writer of the
+	// figures of a window.
+	Fence uint64 `json:"fence,omitempty"`
+	// Window is the usage window of figures. In a claim of an era after the first, it is the
+	// newest window whose figures may have been fixed in an earlier era and lost.
+	Window   int64                          `json:"window,omitempty"`
+	Counts   map[model.OrganisationID]int64 `json:"counts"`
+	Deposits []usagewindow.Deposit          `json:"deposits,omitempty"`
 }
 
 // key returns the log key of a record.
@@ -131,6 +139,9 @@
 	// Elapsed returns the time of a monotonic clock that includes suspension of the host.
 	// Leases end by it.
 	Elapsed func() time.Duration
+	// Fixable returns the newest usage window whose figures a holder may have fixed by now. It
+	// may be nil if no figures are fixed.
+	Fixable func() int64
 	Logger  *zap.Logger
 
 	mu sync.Mutex
@@ -141,10 +152,11 @@
 	holderIncarnation string
 	fence             uint64
 	claims            int
-	usage             map[int64]Record
+	usage             map[int64]fixedFigures
 	deposits          []usagewindow.Deposit
-	// heardAt is when the holder was last heard of.
-	heardAt time.Time
+	lost              lostFigures
+	// heardAt is when the holder was last heard of, steppedAt the time of the last step.
+	heardAt, steppedAt time.Time
 	// quiet observes the log while a claim is being considered.
 	quiet         quietPeriod
 	startedAt     time.Time
@@ -160,8 +172,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.startedAt = now
-	e.heardAt = now
-	e.usage = map[int64]Record{}
+	e.heardAt, e.steppedAt = now, now
+	e.usage = map[int64]fixedFigures{}
 }
 
 // Holding returns the holder of the duties as far as this host knows.
@@ -245,14 +257,20 @@
 		stagger = min(time.Duration(e.Rank())*claimStagger, maxClaimStagger)
 	}
 	e.mu.Lock()
+	e.steppedAt = now
+	reclaim := e.mustReclaim()
 	isHolder := e.isHolder()
 	waiting := now.Sub(e.heardAt) < holderTimeout+stagger || now.Before(e.noClaimBefore)
 	renewalDue := isHolder && e.lease.renewalDue(e.Elapsed())
 	e.mu.Unlock()
 	switch {
+	case reclaim:
+		return e.claim(ctx, now)
 	case renewalDue:
 		return e.write(ctx, Record{Kind: KindAlive})
-	case isHolder || waiting:
+	case isHolder:
+		return e.rewriteLostFigures(ctx)
+	case waiting:
 		return nil
 	}
 	return e.considerClaim(ctx, now)
@@ -291,9 +309,9 @@
 	e.mu.Lock()
 	at := e.end
 	e.quiet = quietPeriod{}
-	e.mu.Unlock()
 	// Offset 0 is valid, but 0 is not a valid fencing token.
-	record := e.stamp(Record{Kind: KindClaim, Fence: at + 1})
+	record := e.stamp(Record{Kind: KindClaim, Fence: at + 1, Window: e.lostWindow()})
+	e.mu.Unlock()
 	if err := e.appendRecord(ctx, record, at); err != nil {
 		if !errors.Is(err, ErrConflict) {
 			// The claim may be in the log. catchUp finds it there.
@@ -324,7 +342,7 @@
 		return eris.Wrap(err, "encode a duty record")
 	}
 	e.mu.Lock()
-	e.lease.sending(r.ID, e.Elapsed())
+	e.lease.sending(r.ID, at, e.Elapsed())
 	e.mu.Unlock()
 	if err := e.Log.AppendAt(ctx, r.key(), raw, at); err != nil {
 		return err
@@ -347,6 +365,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if logpos.Era(end) > logpos.Era(e.end) {
+		e.beginEra(end)
+	}
 	for _, entry := range entries {
 		if entry.Offset >= e.end {
 			e.applyRecord(entry.Record, entry.Offset)
@@ -368,11 +389,17 @@
 		return
 	}
 	if r.Host == e.Host && r.Incarnation == e.Incarnation {
-		e.lease.written(r.ID)
+		e.lease.written(r.ID, offset)
 	}
 	switch r.Kind {
 	case KindClaim:
 		e.claims++
+		if r.Fence != offset+1 {
+			// The store was restored since the claim was written, or it accepted the claim
+			// although its writer had read the log of an earlier era.
+			return
+		}
+		e.lost.claimed(offset, r.Window)
 		if r.Fence > e.fence {
 			e.holder, e.holderIncarnation, e.fence = r.Host, r.Incarnation, r.Fence
 			e.resigned = false
@@ -380,9 +407,9 @@
 	case KindCounts:
 		e.deposits = append(e.deposits, r.Deposits...)
 	case KindUsage:
-		if _, known := e.usage[r.Window]; !known {
-			e.usage[r.Window] = r
-		}
+		e.lost.fixed = max(e.lost.fixed, r.Window)
+		known, ok := e.usage[r.Window]
+		e.usage[r.Window] = known.merged(ok, r, offset)
 		for window := range e.usage {
 			if window < r.Window-keptUsageWindows {
 				delete(e.usage, window)
@@ -403,11 +430,21 @@
 	r = e.stamp(r)
 	for range maxWriteAttempts {
 		e.mu.Lock()
-		at, isHolder := e.end, e.isHolder()
+		reclaim := e.mustReclaim()
+		at, isHolder, now := e.end, e.isHolder(), e.steppedAt
+		if r.Kind == KindUsage && logpos.Era(at) > 0 {
+			r.Fence = e.fence
+		}
 		e.mu.Unlock()
 		if !isHolder {
 			return ErrNotHolder
 		}
+		if reclaim {
+			if err := e.claim(ctx, now); err != nil {
+				return err
+			}
+			continue
+		}
 		err := e.appendRecord(ctx, r, at)
 		if !errors.Is(err, ErrConflict) {
 			return err
@@ -420,27 +457,32 @@
 }
 
 // FixUsage returns the figures that must be reported for a window: those already fixed in the
-// log, or else the given ones, which it fixes first.
+// log, or else the given ones, which it fixes first. It returns ErrAbandoned if others may have
+// been fixed that a restored log has lost.
 func (e *Elector) FixUsage(ctx context.Context, window int64, counts map[model.OrganisationID]int64) (map[model.OrganisationID]int64, error) {
-	if r, ok := e.fixedUsage(window); ok {
+	if r, ok := e.fixedUsage(window); ok && !e.lostFromLog(r) {
 		return r.Counts, nil
 	}
 	if err := e.catchUp(ctx); err != nil {
 		return nil, err
 	}
-	if r, ok := e.fixedUsage(window); ok {
+	r, ok := e.fixedUsage(window)
+	if ok && e.lostFromLog(r) {
+		counts = r.Counts
+	} else if ok {
 		// A record of another host may have come with a claim.
 		if _, _, claimed := e.Claimed(); !claimed {
 			return nil, ErrNotHolder
 		}
 		return r.Counts, nil
+	} else if e.abandoned(window) {
+		return nil, ErrAbandoned
 	}
 	if err := e.write(ctx, Record{Kind: KindUsage, Window: window, Counts: counts}); err != nil {
 		return nil, err
 	}
 	e.removeUsage(ctx, window-keptUsageWindows)
-	r, ok := e.fixedUsage(window)
-	if !ok {
+	if r, ok = e.fixedUsage(window); !ok {
 		return nil, eris.New("the log has no figures for the usage window after they were written")
 	}
 	return r.Counts, nil
@@ -477,7 +519,7 @@
 	return list
 }
 
-func (e *Elector) fixedUsage(window int64) (Record, bool) {
+func (e *Elector) fixedUsage(window int64) (fixedFigures, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r, ok := e.usage[window]
--- a/pkg/duty/lease.go
+++ b/pkg/duty/lease.go
@@ -22,18 +22,22 @@
 type lease struct {
 	// end is leaseTime after the latest record that is known to be in the log was sent.
 	end time.Duration
-	// sentID and sentAt are the ID and the time of the latest append.
+	// sentID, sentTo and sentAt are the ID, the position and the time of the latest append.
 	sentID string
+	sentTo uint64
 	sentAt time.Duration
 }
 
-// sending notes that a record is about to be sent.
-func (l *lease) sending(id string, now time.Duration) { l.sentID, l.sentAt = id, now }
+// sending notes that a record is about to be sent to a position.
+func (l *lease) sending(id string, to uint64, now time.Duration) {
+	l.sentID, l.sentTo, l.sentAt = id, to, now
+}
 
-// written notes that a record of this host is in the log. Only the latest one renews the
-// lease, since the times of earlier ones are not kept.
-func (l *lease) written(id string) {
-	if id == l.sentID {
+// written notes that a record of this host is in the log at a position. Only the latest one
+// renews the lease, since the times of earlier ones are not kept. A record in another era than
+// it was sent to does not: in its own era another host may have claimed before it arrived.
+func (l *lease) written(id string, position uint64) {
+	if id == l.sentID && position == l.sentTo {
 		l.end = max(l.end, l.sentAt+leaseTime)
 	}
 }
--- a/pkg/edgehost/duties.go
+++ b/pkg/edgehost/duties.go
@@ -125,6 +125,11 @@
 	return fence, lapsed == 0 || !h.tables[TopicBackends].UpToDateAt().After(leaseEnd)
 }
 
+// fixableWindow returns the newest usage window whose figures a holder may have fixed by now.
+func (h *Host) fixableWindow() int64 {
+	return h.usage.Window(h.clock.Now().Add(-earliestReportDelay)) - 1
+}
+
 // reportUsage reports the ended windows that are due, oldest first, until a report
 // fails.
 func (h *Host) reportUsage(ctx context.Context, term duty.Term) {
@@ -187,6 +192,12 @@
 // holder reports the same ones, and sends the report. It reports whether it succeeded.
 func (h *Host) reportWindow(ctx context.Context, window int64, term duty.Term) bool {
 	counts, err := h.duties.FixUsage(ctx, window, h.usage.Sum(window))
+	if errors.Is(err, duty.ErrAbandoned) {
+		h.reportedWindows[window] = true
+		h.log.Warn("usage is not reported: other figures may have been before the store was restored", zap.Int64("window", window))
+		h.metrics.usageReports.WithLabelValues("abandoned").Inc()
+		return true
+	}
 	if err != nil {
 		h.log.Warn("the counts of a usage window could not be fixed in the log of the duties", zap.Int64("window", window), zap.Error(err))
 		h.metrics.usageReports.WithLabelValues("not_fixed").Inc()
--- a/pkg/edgehost/exchange.go
+++ b/pkg/edgehost/exchange.go
@@ -55,8 +55,10 @@
 		n.Speeds = h.fleet.Speeds()
 	}
 	if fence, mine := h.announcesDuties(); mine {
-		n.Holding = mesh.Holding{Holder: h.self.Host, Fence: fence}
+		n.Holding = mesh.Holding{Holder: h.self.Host, Fence: fence, FixedWindow: h.duties.FixedWindow()}
 		n.Switching = *h.switching.Load()
+	} else if fence, former := h.duties.FormerFence(); former {
+		n.Holding = mesh.Holding{Fence: fence, FixedWindow: h.duties.FixedWindow()}
 	}
 	return n
 }
@@ -89,8 +91,11 @@
 	h.fleet.HandleReport(host, n.Load, now)
 	h.fleet.AdoptSpeeds(n.Speeds)
 	if n.Holding.Holder == host && !from.Stopped {
+		h.duties.HandleFixed(n.Holding.FixedWindow)
 		h.duties.HandleReport(host, n.Holding.Fence, now)
 		h.fleet.SetSwitching(n.Switching)
+	} else if n.Holding.Holder == "" && n.Holding.Fence > 0 {
+		h.duties.HandleFormer(host, n.Holding.Fence, n.Holding.FixedWindow)
 	}
 	h.gateway.SetPeerSuspects(h.suspects.update(host, from.Incarnation, n.Suspects, now))
 	h.gateway.MergeCrashEvidence(n.Crashes)
--- a/pkg/edgehost/host.go
+++ b/pkg/edgehost/host.go
@@ -146,7 +146,7 @@
 	}
 	h.duties = &duty.Elector{
 		Host: h.self.Host, Incarnation: h.self.Incarnation, Log: h.calls.DutyLog(), Logger: log, Elapsed: truetime.System().Boot,
-		Rank: func() int { return h.mesh.Rank() },
+		Rank: func() int { return h.mesh.Rank() }, Fixable: h.fixableWindow,
 	}
 	h.addFollower(TopicConfiguration, configurationWait, 0)
 	h.addFollower(TopicBackends, 0, backendsInterval)
--- a/pkg/mesh/message.go
+++ b/pkg/mesh/message.go
@@ -45,6 +45,8 @@
 
 // Holding names the holder of the duties, with its fencing token.
 type Holding struct {
+	// Holder is empty in the update of a host that has given up the duties since it held them
+	// under the fencing token.
 	Holder string
 	Fence  uint64
 	// FixedWindow is the newest usage window whose figures the holder has fixed, 0 if there
