Restore the store from older copies in the soak

Cause: restores meet other faults, as outages, late appends, killed and frozen hosts, only in a run with processes.

--- a/integration/cmd/platformsoak/main.go
+++ b/integration/cmd/platformsoak/main.go
@@ -23,13 +23,15 @@
 func main() {
 	first := flag.Uint64("seed", uint64(time.Now().Unix()), "first seed")
 	count := flag.Uint64("count", 1, "number of seeds")
-	hosts := flag.Int("hosts", 8, "number of hosts")
-	duration := flag.Duration("duration", 20*time.Second, "duration of fault injection for each seed")
+	var config platformsoak.Config
+	flag.IntVar(&config.Hosts, "hosts", 8, "number of hosts")
+	flag.DurationVar(&config.Duration, "duration", 20*time.Second, "duration of fault injection for each seed")
+	flag.BoolVar(&config.Restores, "restores", false, "restore the store from older copies")
 	out := flag.String("out", "out/platformsoak", "directory for logs")
-	binary := flag.String("binary", "", "path of the redwingpath program to run, instead of one that is built")
+	flag.StringVar(&config.Binary, "binary", "", "path of the redwingpath program to run, instead of one that is built")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	failed, err := run(ctx, *first, *count, *hosts, *duration, *out, *binary)
+	failed, err := run(ctx, *first, *count, config, *out)
 	stop()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -40,18 +42,19 @@
 	}
 }
 
-func run(ctx context.Context, first, count uint64, hosts int, duration time.Duration, out, binary string) (failed int, err error) {
+// run plays seeds with the other properties of a configuration.
+func run(ctx context.Context, first, count uint64, config platformsoak.Config, out string) (failed int, err error) {
 	if err := os.MkdirAll(out, 0o755); err != nil {
 		return 0, err
 	}
-	if binary == "" {
+	if config.Binary == "" {
 		binaries, err := harness.Build(ctx, out)
 		if err != nil {
 			return 0, err
 		}
-		binary = binaries.Host
+		config.Binary = binaries.Host
 	}
-	if binary, err = filepath.Abs(binary); err != nil {
+	if config.Binary, err = filepath.Abs(config.Binary); err != nil {
 		return 0, err
 	}
 	for seed := first; seed < first+count && ctx.Err() == nil; seed++ {
@@ -59,12 +62,13 @@
 		if err := os.MkdirAll(dir, 0o755); err != nil {
 			return failed, err
 		}
-		result, err := platformsoak.Run(ctx, platformsoak.Config{Seed: seed, Hosts: hosts, Duration: duration, Binary: binary, Dir: dir})
+		config.Seed, config.Dir = seed, dir
+		result, err := platformsoak.Run(ctx, config)
 		if err != nil {
 			return failed, err
 		}
-		fmt.Printf("seed %d: %d requests, %d served, %d faults, %d violations\n",
-			seed, result.Requests, result.Served, result.Faults, len(result.Violations))
+		fmt.Printf("seed %d: %d requests, %d served, %d faults, %d restores, %d violations\n",
+			seed, result.Requests, result.Served, result.Faults, result.Restores, len(result.Violations))
 		for _, verdict := range result.Verdicts {
 			fmt.Println("  ", verdict)
 		}
--- a/integration/platformsoak/soak.go
+++ b/integration/platformsoak/soak.go
@@ -29,6 +29,8 @@
 	Seed     uint64
 	Hosts    int
 	Duration time.Duration
+	// Restores makes the store return to older copies of itself.
+	Restores bool
 	// Binary is the path of the redwingpath program.
 	Binary string
 	// Dir receives settings and logs.
@@ -37,7 +39,7 @@
 
 // Result holds the counts and violations of a run.
 type Result struct {
-	Requests, Served, Faults int
+	Requests, Served, Faults, Restores int
 	// Violations are those of all rules and checks.
 	Violations []string
 	// Verdicts state for each judged rule how closely it was kept.
@@ -143,12 +145,18 @@
 		callers.Go(func() { r.probe(load, i) })
 	}
 	callers.Go(func() { r.sendCrashingPrompts(load) })
+	if c.Restores {
+		r.store.KeepCopies()
+	}
 	disorder, endDisorder := context.WithTimeout(ctx, c.Duration)
 	defer endDisorder()
 	var others sync.WaitGroup
 	others.Go(func() { r.operate(disorder) })
 	others.Go(func() { r.storm(disorder) })
 	others.Go(func() { r.limitServers(disorder) })
+	if c.Restores {
+		others.Go(func() { r.restoreStore(disorder) })
+	}
 	r.injectFaults(disorder)
 	others.Wait()
 	r.clearFaults()
@@ -159,6 +167,7 @@
 	r.checkRuns()
 	r.checkNotices()
 	r.checkReports()
+	r.checkClaims()
 	r.judgeRecord()
 	return r.result, nil
 }
