--- a/pkg/mirror/era_test.go
+++ b/pkg/mirror/era_test.go
@@ -120,6 +120,16 @@
 	fresh.Merged("another")
 	assert.False(t, fresh.WantsMerge("third"))
 
+	// A host that ran had not learned of the newest version when it was lost.
+	behind := newVersionedTable()
+	behind.Snapshot([]Record{record("config", "v6", 80)}, 90, now)
+	require.False(t, behind.WantsMerge("running"))
+	behind.applyListing(listing, at(1, 50), now, now)
+	require.True(t, behind.WantsMerge("running"))
+	assert.Equal(t, "v6", value(t, behind, "config"))
+	behind.Take(since(t, running, 0), now)
+	assert.Equal(t, "v7", value(t, behind, "config"))
+
 	// A copy that still is of the earlier era has the value as well.
 	late, old := newVersionedTable(), newVersionedTable()
 	old.Snapshot([]Record{record("config", "v7", 90), record("lost", "1", 80)}, 100, now)
--- a/pkg/mirror/table.go
+++ b/pkg/mirror/table.go
@@ -64,10 +64,10 @@
 	merged       map[string]bool
 }
 
-// mergesAtStart is the number of peers whose copies a table is merged with that began with a
-// listing of a restored store. The listing may lack what the store has lost and running hosts
-// still have in force. One of two peers has usually run for longer than this host.
-const mergesAtStart = 2
+// mergesOfEra is the number of peers whose copies a table is merged with that entered an era
+// with a listing of the store. The listing may lack what the store has lost and peers still
+// have in force. One of two peers has usually run for longer than a host that has just started.
+const mergesOfEra = 2
 
 // NewTable returns an empty table. equivalent reports whether two values of a key have
 // the same meaning, so that the newer one need not be passed on to peers. It may be nil.
@@ -180,8 +180,8 @@
 func (t *Table) applyListing(records []Record, end uint64, began, now time.Time) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.complete && logpos.Era(end) > 0 {
-		t.mergesWanted, t.merged = mergesAtStart, map[string]bool{}
+	if logpos.Era(end) > logpos.Era(t.end) {
+		t.mergesWanted, t.merged = mergesOfEra, map[string]bool{}
 	}
 	changed := t.snapshotLocked(records, end, now)
 	t.lastRead = began
