Bound the windows that a host with a wrong clock makes others abandon

Cause: after a restore, windows up to the newest one that was fixed are abandoned if their figures are not known; the number comes from other hosts, whose clocks may be wrong.

Change: a host takes at most the window after the newest one that can have been fixed by its own clock.

Measured: go test -race of pkg/duty and pkg/edgehost passes.

--- a/pkg/duty/duty.go
+++ b/pkg/duty/duty.go
@@ -399,7 +399,7 @@
 			// although its writer had read the log of an earlier era.
 			return
 		}
-		e.lost.claimed(offset, r.Window)
+		e.lost.claimed(offset, e.plausible(r.Window))
 		if r.Fence > e.fence {
 			e.holder, e.holderIncarnation, e.fence = r.Host, r.Incarnation, r.Fence
 			e.resigned = false
@@ -407,7 +407,7 @@
 	case KindCounts:
 		e.deposits = append(e.deposits, r.Deposits...)
 	case KindUsage:
-		e.lost.fixed = max(e.lost.fixed, r.Window)
+		e.noteFixed(r.Window)
 		known, ok := e.usage[r.Window]
 		e.usage[r.Window] = known.merged(ok, r, offset)
 		for window := range e.usage {
--- a/pkg/duty/era.go
+++ b/pkg/duty/era.go
@@ -75,6 +75,19 @@
 	}
 }
 
+// noteFixed notes a window that was fixed. The caller holds e.mu.
+func (e *Elector) noteFixed(window int64) { e.lost.fixed = max(e.lost.fixed, e.plausible(window)) }
+
+// plausible returns a window that another host has stated, or the newest one that it may mean:
+// a host whose clock is wrong must not make the others abandon the windows of a long time. One
+// window is left for clocks that differ. The caller holds e.mu.
+func (e *Elector) plausible(window int64) int64 {
+	if e.Fixable == nil {
+		return window
+	}
+	return min(window, e.Fixable()+1)
+}
+
 // beginEra notes that the log ends at a position of a later era. The caller holds e.mu.
 func (e *Elector) beginEra(end uint64) {
 	e.Logger.Warn("the log of the duties is of a new era", zap.Uint64("former_era", logpos.Era(e.end)), zap.Uint64("era", logpos.Era(end)),
@@ -176,7 +189,7 @@
 func (e *Elector) HandleFixed(window int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.lost.fixed = max(e.lost.fixed, window)
+	e.noteFixed(window)
 }
 
 // HandleFormer records that a host which held the duties under a fencing token has given them
@@ -184,7 +197,7 @@
 func (e *Elector) HandleFormer(host string, fence uint64, window int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.lost.fixed = max(e.lost.fixed, window)
+	e.noteFixed(window)
 	if fence > e.fence {
 		e.holder, e.holderIncarnation, e.fence = host, "", fence
 	}
--- a/pkg/duty/era_test.go
+++ b/pkg/duty/era_test.go
@@ -341,6 +341,25 @@
 	return l.eraLog.Read(ctx, from)
 }
 
+// Guards against reports that end for a long time because a host whose clock was wrong has fixed
+// a window that is far ahead.
+func TestWindowFarAheadDoesNotMakeOthersAbandonTheirs(t *testing.T) {
+	log := &eraLog{}
+	a := newElector("a", log)
+	a.Fixable = func() int64 { return 20 }
+	stepAll(t, 0, 3*time.Second, hearNone, a)
+	_, err := a.FixUsage(t.Context(), 1<<40, counts(1))
+	require.NoError(t, err)
+	a.HandleFixed(1 << 50)
+	log.restore(1)
+	stepAll(t, 3*time.Second, 5*time.Second, hearNone, a)
+	fixed, err := a.FixUsage(t.Context(), 22, counts(2))
+	require.NoError(t, err)
+	assert.Equal(t, counts(2), fixed)
+	_, err = a.FixUsage(t.Context(), 21, counts(3))
+	assert.ErrorIs(t, err, ErrAbandoned)
+}
+
 // eraPlay plays random restores, outages, lost and late appends, cut hosts and new processes, and
 // records what the holders do.
 type eraPlay struct {
