--- a/pkg/edgehost/metrics.go
+++ b/pkg/edgehost/metrics.go
@@ -12,6 +12,8 @@
 	dutyHolder           prometheus.Gauge
 	evacuated            prometheus.Gauge
 	startingServers      *prometheus.GaugeVec
+	storeEra             prometheus.Gauge
+	storeEraChanges      prometheus.Counter
 }
 
 func newHostMetrics(r prometheus.Registerer) *hostMetrics {
@@ -34,7 +36,12 @@
 			Name: "redwingpath_evacuated_data_centres", Help: "Data centres whose servers get no requests because the operator evacuates them."}),
 		startingServers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "redwingpath_starting_servers", Help: "Backend servers in slow start (paced) and cold ones."}, []string{"state"}),
+		storeEra: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "redwingpath_store_era", Help: "Number of times that the store was restored from an older copy."}),
+		storeEraChanges: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "redwingpath_store_era_changes_total", Help: "Changes of the store's era that this host has seen."}),
 	}
-	r.MustRegister(m.configurationVersion, m.storeUp, m.unreadableRecords, m.connections, m.messages, m.usageReports, m.dutyHolder, m.evacuated, m.startingServers)
+	r.MustRegister(m.configurationVersion, m.storeUp, m.unreadableRecords, m.connections, m.messages, m.usageReports, m.dutyHolder,
+		m.evacuated, m.startingServers, m.storeEra, m.storeEraChanges)
 	return m
 }
