Make the hosts and reports of the simulated loads reusable

Cause: the simulation of engines with memory needs the same hosts and late reports as the loads that exist.

Change: newFleets and exchangeReports are taken out of simulateDelayed. The order of random draws is unchanged.

--- a/pkg/placement/load_test.go
+++ b/pkg/placement/load_test.go
@@ -180,38 +180,12 @@
 // simulateDelayed is simulateSettings with reports that arrive late, by 0.5 to 1.5 times
 // the delay.
 func simulateDelayed(load []loadRequest, engines map[model.BackendID]*simEngine, hosts int, interval, delay time.Duration, s Settings) loadResult {
-	fleets := make([]*Fleet, hosts)
+	fleets := newFleets(engines, hosts, s)
 	used := map[[2]string]bool{}
-	for i := range fleets {
-		s.DataCentre = model.DataCentreID(fmt.Sprint("z", i%3))
-		fleets[i] = NewFleet(s)
-		fleets[i].SetHostPosition(i/3, (hosts-i%3+2)/3)
-		for _, e := range sortedEngines(engines) {
-			fleets[i].Update(e.backend)
-		}
-	}
 	var queue eventQueue
 	r := rand.New(rand.NewPCG(9, 9))
 	first := make([]time.Duration, len(load))
-	var exchange func(i int) func(time.Time)
-	exchange = func(i int) func(time.Time) {
-		return func(now time.Time) {
-			report := fleets[i].Report()
-			for j, f := range fleets {
-				if i != j {
-					arrival := now.Sub(epoch) + delay/2
-					if delay > 0 {
-						arrival += time.Duration(r.Int64N(int64(delay)))
-					}
-					heap.Push(&queue, event{arrival, func(now time.Time) { f.HandleReport(fmt.Sprint("h", i), report, now) }})
-				}
-			}
-			heap.Push(&queue, event{now.Sub(epoch) + interval, exchange(i)})
-		}
-	}
-	for i := range fleets {
-		heap.Push(&queue, event{interval * time.Duration(i) / time.Duration(hosts), exchange(i)})
-	}
+	exchangeReports(&queue, fleets, interval, delay, r)
 	for n, q := range load {
 		for queue.Len() > 0 && queue[0].at <= q.at {
 			e := heap.Pop(&queue).(event)
@@ -252,6 +226,44 @@
 	return o
 }
 
+// newFleets returns the fleets of hosts in three data centres.
+func newFleets(engines map[model.BackendID]*simEngine, hosts int, s Settings) []*Fleet {
+	fleets := make([]*Fleet, hosts)
+	for i := range fleets {
+		s.DataCentre = model.DataCentreID(fmt.Sprint("z", i%3))
+		fleets[i] = NewFleet(s)
+		fleets[i].SetHostPosition(i/3, (hosts-i%3+2)/3)
+		for _, e := range sortedEngines(engines) {
+			fleets[i].Update(e.backend)
+		}
+	}
+	return fleets
+}
+
+// exchangeReports schedules the reports of all hosts to each other, which arrive late by 0.5
+// to 1.5 times the delay.
+func exchangeReports(queue *eventQueue, fleets []*Fleet, interval, delay time.Duration, r *rand.Rand) {
+	var exchange func(i int) func(time.Time)
+	exchange = func(i int) func(time.Time) {
+		return func(now time.Time) {
+			report := fleets[i].Report()
+			for j, f := range fleets {
+				if i != j {
+					arrival := now.Sub(epoch) + delay/2
+					if delay > 0 {
+						arrival += time.Duration(r.Int64N(int64(delay)))
+					}
+					heap.Push(queue, event{arrival, func(now time.Time) { f.HandleReport(fmt.Sprint("h", i), report, now) }})
+				}
+			}
+			heap.Push(queue, event{now.Sub(epoch) + interval, exchange(i)})
+		}
+	}
+	for i := range fleets {
+		heap.Push(queue, event{interval * time.Duration(i) / time.Duration(len(fleets)), exchange(i)})
+	}
+}
+
 // simulateAffinity is the cache affinity baseline: every prompt goes to the home engine of
 // its shared parts, and there are only decode engines.
 func simulateAffinity(load []loadRequest, engines map[model.BackendID]*simEngine) loadResult {
