Place requests by the memory of engines where nobody has a quota

Cause: without quotas the KV cache memory of engines runs out before their slots. Placement counted only slots, so that long questions met at full engines, waited, and were preempted.

Change: where the configuration is unmetered, hosts estimate the tokens in use at each engine from their own requests and one number per engine from each peer (ServerLoad.Tokens). Half of the stated maximum of output counts. Parts that the engine is expected to have already are not counted, others with the share that they have on average. Where a request does not fit, the expected wait for memory is part of the predicted time, and 0.15 of it of the cost.

--- a/pkg/edgehost/registry.go
+++ b/pkg/edgehost/registry.go
@@ -137,7 +137,7 @@
 		return b
 	}
 	e := service.Engine
-	b.Engine = &placement.EngineTraits{CacheTokens: e.CacheTokens}
+	b.Engine = &placement.EngineTraits{CacheTokens: e.CacheTokens, LimitMemory: c.Unmetered()}
 	if e.BytesPerToken > 0 {
 		const bitsPerByte = 8
 		bytesPerMS := e.LinkMbps * 1e6 / bitsPerByte / 1000
--- a/pkg/edgehost/registry_test.go
+++ b/pkg/edgehost/registry_test.go
@@ -156,3 +156,22 @@
 	b.put("x", 1, false, 2*time.Second)
 	assert.True(t, b.fleet.Usable("x"))
 }
+
+// Guards against a limit by memory where organisations have quotas, and against one that is
+// missing where none has.
+func TestMemoryLimitsEnginesOfUnmeteredConfigurations(t *testing.T) {
+	for name, rate := range map[string]float64{"metered": 10, "unmetered": 0} {
+		t.Run(name, func(t *testing.T) {
+			b := newRegistryFixture()
+			c := catalog.New(catalog.Config{
+				Version: 1, Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{CacheTokens: 1000}}},
+				Organisations: []catalog.Organisation{{ID: "org", Rate: rate}},
+			})
+			b.catalog = func() *catalog.Catalog { return c }
+			b.put("a", 1, false, 0)
+			server, _ := b.fleet.Get("a")
+			assert.Equal(t, rate == 0, server.Engine.LimitMemory)
+			assert.Equal(t, rate == 0, len(b.fleet.EngineMemories()) == 1)
+		})
+	}
+}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -284,6 +284,7 @@
 		Service:      c.service.Name,
 		Parts:        slices.Clone(c.metadata.Parts),
 		PromptTokens: c.metadata.PromptTokens,
+		OutputTokens: c.metadata.OutputTokens,
 		MaxEventGap:  c.route.TargetGap,
 	}
 }
--- a/pkg/placement/fleet.go
+++ b/pkg/placement/fleet.go
@@ -45,6 +45,10 @@
 	// prefillWork is the total prefill time of the requests that all hosts have sent so
 	// far.
 	prefillWork time.Duration
+	// meanHoldTime is the mean time from the send of a request to its end, 0 until one has
+	// ended.
+	meanHoldTime time.Duration
+	partRates    partRates
 	// nextReturn is the time for which the next refused caller is asked to come back.
 	nextReturn time.Time
 }
@@ -62,6 +66,12 @@
 	// pendingPrefill is the prefill time of this host's requests whose prefill has not
 	// ended, peersPendingPrefill that of other hosts.
 	pendingPrefill, peersPendingPrefill time.Duration
+	// memory is what this host's requests use of the engine's memory, nil if it does not
+	// limit them. peersTokens is in use by requests of other hosts.
+	memory      *engineMemory
+	peersTokens int
+	// memoryWait is the expected wait for memory of the request that is being placed.
+	memoryWait time.Duration
 	// failureRate is the exponential moving average of failed requests.
 	failureRate float64
 	// suspectUntil is the time until which an unresponsive server is avoided.
@@ -109,6 +119,7 @@
 	s.Backend = b
 	f.markEvacuated(s)
 	f.heedNotice(s)
+	f.updateMemory(s, sameLife)
 	if !sameLife {
 		s.turns, s.coldTurns, s.coldUntil = nil, nil, time.Time{}
 		f.divideLimit(s)
--- a/pkg/placement/parts.go
+++ b/pkg/placement/parts.go
@@ -35,6 +35,9 @@
 	}
 }
 
+// holds reports whether a part is cached.
+func (c *partCache) holds(p Part) bool { return c.byPart[p.ID] != nil }
+
 // prefixTokens returns the number of tokens in the leading parts that are cached.
 func (c *partCache) prefixTokens(parts []Part) int {
 	n := 0
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -48,6 +48,10 @@
 			d.prefillers = append(d.prefillers, s)
 		}
 	}
+	if r.Only == "" {
+		k.partRates.engines = len(d.decoders)
+	}
+	d.memory = k.memoryDemand(r, now)
 	d.considerEngines()
 	return d.best, d.found
 }
@@ -63,6 +67,8 @@
 	// atLimit are servers that take no more requests now because of their limits. Other
 	// engines may still fetch from their caches.
 	atLimit []*server
+	// memory is what the request needs at an engine.
+	memory memoryDemand
 	// meanRunning is the mean number of running requests per decode engine.
 	meanRunning int
 
@@ -177,6 +183,7 @@
 func (d *decision) considerEngines() {
 	for _, s := range d.decoders {
 		d.meanRunning += s.totalRunning()
+		d.estimateMemoryWait(s)
 	}
 	d.meanRunning /= max(1, len(d.decoders))
 	// If there are prefill engines, the home engine of shared parts is one of them.
@@ -211,8 +218,8 @@
 	uncached := d.request.PromptTokens - cachedTokens
 	prefill := &d.service.prefill[StageDecode]
 	prefillWork := prefill.timeFor(uncached)
-	predicted := queueWait + d.slotWait(s) + prefillWork + prefill.fixed() + d.networkCost(s)
-	cost := predicted + d.workCost(prefillWork, StageDecode) + d.penalty(s) + d.batchCost(s) + d.stallCost(s, queueWait+prefillWork)
+	predicted := queueWait + d.batchWait(s) + prefillWork + prefill.fixed() + d.networkCost(s)
+	cost := predicted + d.workCost(prefillWork, StageDecode) + d.penalty(s) + d.batchCost(s) - d.memoryDiscount(s) + d.stallCost(s, queueWait+prefillWork)
 	if s == home {
 		cost -= d.homeDiscount(cachedTokens, StageDecode)
 	}
@@ -277,9 +284,9 @@
 	uncached := max(0, d.request.PromptTokens-tokens)
 	prefill := &d.service.prefill[StageDecode]
 	prefillWork := prefill.timeFor(uncached)
-	predicted := queueWait + d.slotWait(s) + transferTime + prefillWork + prefill.fixed() + d.networkCost(s)
+	predicted := queueWait + d.batchWait(s) + transferTime + prefillWork + prefill.fixed() + d.networkCost(s)
 	d.consider(Plan{Run: s.Backend, Fetch: &from.Backend, Predicted: predicted, Prefilled: queueWait + transferTime + prefillWork, Waiting: queueWait, Uncached: uncached, prefillWork: prefillWork},
-		predicted-transferTime+transferCost+d.workCost(prefillWork, StageDecode)+d.penalty(s)+d.batchCost(s)+d.stallCost(s, queueWait+prefillWork))
+		predicted-transferTime+transferCost+d.workCost(prefillWork, StageDecode)+d.penalty(s)+d.batchCost(s)-d.memoryDiscount(s)+d.stallCost(s, queueWait+prefillWork))
 }
 
 // prefill is a way to prefill the prompt on a prefill engine.
@@ -301,7 +308,7 @@
 	}
 	for _, s := range d.decoders {
 		kvTransfer, transferCost := d.transfer(d.request.PromptTokens-s.cache.prefixTokens(d.request.Parts), best.prefiller, s)
-		after := d.slotWait(s) + d.service.firstEventDelay() + d.networkCost(s) + d.fleet.settings.HopPenalty
+		after := d.batchWait(s) + d.service.firstEventDelay() + d.networkCost(s) + d.fleet.settings.HopPenalty
 		p := Plan{
 			Run: s.Backend, Prefill: &best.prefiller.Backend, Predicted: best.duration + kvTransfer + after,
 			Prefilled: best.duration, Waiting: d.queueWait(best.prefiller), Uncached: best.uncached, prefillWork: best.prefillWork, kvTransfer: kvTransfer,
@@ -309,7 +316,7 @@
 		if best.fetchFrom != nil {
 			p.Fetch = &best.fetchFrom.Backend
 		}
-		d.consider(p, best.cost+transferCost+after+d.penalty(s)+d.batchCost(s))
+		d.consider(p, best.cost+transferCost+after+d.penalty(s)+d.batchCost(s)-d.memoryDiscount(s))
 	}
 }
 
@@ -353,7 +360,8 @@
 		return Backend{}, false
 	}
 	t.giveRunTurnBack(now)
-	d := decision{fleet: f, service: k, request: r, now: now}
+	t.runMemory.release()
+	d := decision{fleet: f, service: k, request: r, now: now, memory: k.memoryDemand(r, now)}
 	var best *server
 	var lowest time.Duration
 	for _, s := range k.servers {
@@ -361,7 +369,8 @@
 			continue
 		}
 		_, cost := d.transfer(r.PromptTokens-s.cache.prefixTokens(r.Parts), prefiller, s)
-		cost += d.slotWait(s) + d.networkCost(s) + d.penalty(s) + d.batchCost(s)
+		d.estimateMemoryWait(s)
+		cost += d.batchWait(s) + d.networkCost(s) + d.penalty(s) + d.batchCost(s) - d.memoryDiscount(s)
 		if best == nil || cost < lowest {
 			best, lowest = s, cost
 		}
@@ -369,6 +378,7 @@
 	if best == nil {
 		return Backend{}, false
 	}
+	t.runMemory = f.hold(best, r, now)
 	t.run(best)
 	t.takeRunTurn(best, now)
 	return best.Backend, true
--- a/pkg/placement/report.go
+++ b/pkg/placement/report.go
@@ -76,8 +76,9 @@
 		load := ServerLoad{Backend: id, Running: s.running}
 		if s.Engine != nil {
 			load.UnreadMS = quantize(millis(s.pendingPrefill))
+			load.Tokens = s.memory.units()
 		}
-		if load.Running > 0 || load.UnreadMS > 0 {
+		if load.Running > 0 || load.UnreadMS > 0 || load.Tokens > 0 {
 			l = append(l, load)
 		}
 	}
@@ -93,6 +94,7 @@
 			s.addBacklog(fromMillis(send.WorkMS), now)
 			f.service(s.Service).prefillWork += fromMillis(send.WorkMS)
 			s.cache.add(send.Parts)
+			f.notePartUse(s, send.Parts, now)
 		}
 	}
 	f.replacePeerLoad(peer, r.Load)
@@ -103,6 +105,7 @@
 	server         *server
 	running        int
 	pendingPrefill time.Duration
+	tokens         int
 }
 
 // replacePeerLoad replaces the load of a peer. Its run time depends on the number of
@@ -114,9 +117,10 @@
 		if s == nil {
 			continue
 		}
-		p := peerLoad{s, max(load.Running, 0), fromMillis(max(load.UnreadMS, 0))}
+		p := peerLoad{s, max(load.Running, 0), fromMillis(max(load.UnreadMS, 0)), max(load.Tokens, 0) * tokensPerUnit}
 		s.peersRunning += p.running
 		s.peersPendingPrefill += p.pendingPrefill
+		s.peersTokens += p.tokens
 		loads = append(loads, p)
 	}
 	f.peerLoads[peer] = loads
@@ -136,6 +140,7 @@
 	for _, p := range loads {
 		p.server.peersRunning -= p.running
 		p.server.peersPendingPrefill -= p.pendingPrefill
+		p.server.peersTokens -= p.tokens
 	}
 	clear(loads)
 	return loads[:0]
--- a/pkg/placement/ticket.go
+++ b/pkg/placement/ticket.go
@@ -22,7 +22,10 @@
 	prefilledAt time.Time
 	// runTurns are the limits of which the request holds a turn, at the server that runs it.
 	runTurns []*turns
-	done     bool
+	// runMemory and prefillMemory are the memory that the request uses at the server that
+	// runs it and at its prefill engine.
+	runMemory, prefillMemory memoryHold
+	done                     bool
 }
 
 // Send records a request that is about to be sent according to a plan, and returns the
@@ -33,6 +36,7 @@
 	t := &Ticket{plan: p, prompt: r.Parts, sentAt: now}
 	if run := f.servers[p.Run.ID]; run != nil {
 		t.takeRunTurn(run, now)
+		t.runMemory = f.hold(run, r, now)
 		if p.Prefill == nil {
 			t.run(run)
 		}
@@ -43,6 +47,7 @@
 	}
 	if p.Prefill != nil {
 		prefiller.takeTurn(now)
+		t.prefillMemory = f.hold(prefiller, r, now)
 	}
 	t.prefillerIdle = !prefiller.busyUntil.After(now)
 	prefiller.addBacklog(p.prefillWork, now)
@@ -50,6 +55,7 @@
 	f.service(prefiller.Service).prefillWork += p.prefillWork
 	t.prefillDue = prefiller.busyUntil
 	prefiller.cache.add(r.Parts)
+	f.notePartUse(prefiller, sharedParts(r.Parts), now)
 	if prefiller.Engine != nil {
 		f.queueSend(Send{Backend: prefiller.ID, WorkMS: millis(p.prefillWork), Parts: sharedParts(r.Parts)})
 	}
@@ -126,6 +132,7 @@
 		return
 	}
 	t.prefillEnded = true
+	t.prefillMemory.release()
 	if prefiller := f.servers[t.plan.Prefiller().ID]; prefiller != nil {
 		prefiller.pendingPrefill = max(0, prefiller.pendingPrefill-t.plan.prefillWork)
 	}
@@ -187,6 +194,7 @@
 	}
 	t.done = true
 	f.releaseWork(t, now)
+	f.endMemory(t, o, now)
 	s := f.servers[t.plan.Run.ID]
 	if s == nil {
 		return
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -69,6 +69,8 @@
 	CacheTokens int
 	// TransferTokensPerMS is the rate of KV cache transfers. Unit: tokens per millisecond.
 	TransferTokensPerMS float64
+	// LimitMemory is set if requests are placed where they fit in the memory of CacheTokens.
+	LimitMemory bool
 }
 
 // Part is a segment of a prompt that several requests may share.
@@ -84,6 +86,8 @@
 	// request.
 	Parts        []Part
 	PromptTokens int
+	// OutputTokens is the maximum number of output tokens, 0 if not stated.
+	OutputTokens int
 	// MaxEventGap is the maximum gap between events of a response, 0 if there is no limit.
 	// Running responses of other requests are assumed to have the same limit.
 	MaxEventGap time.Duration
