Refuse requests that no engine has memory for

Cause: an engine rejects a request that is larger than its memory as if it were full, so that the request was sent to up to four engines in vain.

Change: where memory is counted, a request whose prompt is larger than every engine of its service gets 503 with Retry-After at once. The reason in the log states both numbers.

Measured: TestRequestLargerThanEveryEngineIsRefused, no request is sent.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -263,6 +264,9 @@
 	if rejected := c.rejectHeldPart(); rejected != nil {
 		return placement.Plan{}, rejected
 	}
+	if rejected := c.rejectTooLarge(); rejected != nil {
+		return placement.Plan{}, rejected
+	}
 	plan, ok := c.g.deps.Fleet.Place(&c.placementRequest, time.Now())
 	if !ok {
 		return plan, c.noServer()
@@ -278,6 +282,19 @@
 	return plan, nil
 }
 
+// rejectTooLarge rejects a request that no engine of its service has memory for. The status
+// is not 413, since the configuration may get larger engines.
+func (c *call) rejectTooLarge() *rejection {
+	largest, tooLarge := c.g.deps.Fleet.TooLarge(&c.placementRequest)
+	if !tooLarge {
+		return nil
+	}
+	return &rejection{
+		status: http.StatusServiceUnavailable, retryAfter: c.g.settings.MaxRetryAfter,
+		reason: fmt.Sprintf("the prompt has %d tokens and the largest engine has memory for %d", c.placementRequest.PromptTokens, largest),
+	}
+}
+
 // initPlacement sets the placement request from the route and the caller's metadata.
 func (c *call) initPlacement() {
 	c.placementRequest = placement.Request{
