Show the memory of engines to operators

Cause: nothing showed how full a host believes the engines to be.

Change: the log line "engine load" has the tokens in use and in total at decode engines, the gauge redwingpath_engine_tokens has the same by service, and the state dump lists each engine under engine_memory.

Measured: go vet, staticcheck and the race tests of placement, gateway, edgehost and mesh pass; the output was not looked at in a running host.

--- a/pkg/edgehost/metrics.go
+++ b/pkg/edgehost/metrics.go
@@ -11,6 +11,7 @@
 	usageReports         *prometheus.CounterVec
 	dutyHolder           prometheus.Gauge
 	evacuated            prometheus.Gauge
+	engineTokens         *prometheus.GaugeVec
 }
 
 func newHostMetrics(r prometheus.Registerer) *hostMetrics {
@@ -31,7 +32,9 @@
 			Name: "redwingpath_duty_holder", Help: "Whether this host holds the duties."}),
 		evacuated: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "redwingpath_evacuated_data_centres", Help: "Data centres whose servers get no requests because the operator evacuates them."}),
+		engineTokens: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "redwingpath_engine_tokens", Help: "Estimated memory of the decode engines in tokens, in use and in total, by service."}, []string{"service", "state"}),
 	}
-	r.MustRegister(m.configurationVersion, m.storeUp, m.unreadableRecords, m.connections, m.messages, m.usageReports, m.dutyHolder, m.evacuated)
+	r.MustRegister(m.configurationVersion, m.storeUp, m.unreadableRecords, m.connections, m.messages, m.usageReports, m.dutyHolder, m.evacuated, m.engineTokens)
 	return m
 }
--- a/pkg/edgehost/run.go
+++ b/pkg/edgehost/run.go
@@ -127,6 +127,7 @@
 		"host": h.self, "ready": h.ready(), "stopping": h.stopping.Load(), "members": h.mesh.Live(),
 		"backends": h.fleet.List(), "holder": holder, "fence": fence, "now": h.clock.Now(), "relaying": h.mesh.Relaying(),
 		"prompt_parts": h.gateway.QuarantineState(), "evacuated": *h.evacuated.Load(),
+		"engine_memory": h.fleet.EngineMemories(),
 	}
 	if c := h.catalog.Load(); c != nil {
 		state["configuration"] = c.Version
@@ -152,7 +153,10 @@
 			zap.Int("prefill_engines", s.Prefillers), zap.Int("decode_engines", s.Decoders),
 			zap.Float64("prefill_tokens_per_ms", s.PrefillRate), zap.Float64("decode_tokens_per_ms", s.DecodeRate),
 			zap.Duration("prefill_wait", s.PrefillWait), zap.Duration("decode_wait", s.DecodeWait),
-			zap.Int("running", s.Running), zap.Int("slots", s.Slots), zap.Int("suspects", s.Suspects))
+			zap.Int("running", s.Running), zap.Int("slots", s.Slots),
+			zap.Int("tokens_in_use", s.TokensInUse), zap.Int("tokens", s.Tokens), zap.Int("suspects", s.Suspects))
+		h.metrics.engineTokens.WithLabelValues(string(s.Service), "in_use").Set(float64(s.TokensInUse))
+		h.metrics.engineTokens.WithLabelValues(string(s.Service), "total").Set(float64(s.Tokens))
 	}
 }
 
--- a/pkg/placement/summary.go
+++ b/pkg/placement/summary.go
@@ -58,6 +58,9 @@
 	PrefillRate, DecodeRate  float64
 	PrefillWait, DecodeWait  time.Duration
 	Running, Slots, Suspects int
+	// TokensInUse and Tokens are the memory in use and in total at the decode engines, 0
+	// where memory does not limit requests. Unit: tokens.
+	TokensInUse, Tokens int
 }
 
 // Summaries describes all services that have engines.
@@ -84,6 +87,10 @@
 				s.DecodeWait += wait
 				s.Running += e.totalRunning()
 				s.Slots += e.Slots
+				if e.memory != nil {
+					s.TokensInUse += e.memoryUsed()
+					s.Tokens += e.memory.capacity
+				}
 			}
 		}
 		if s.Prefillers+s.Decoders == 0 {
