--- a/pkg/edgehost/metrics.go
+++ b/pkg/edgehost/metrics.go
@@ -14,6 +14,7 @@
 	startingServers      *prometheus.GaugeVec
 	storeEra             prometheus.Gauge
 	storeEraChanges      prometheus.Counter
+	engineTokens         *prometheus.GaugeVec
 }
 
 func newHostMetrics(r prometheus.Registerer) *hostMetrics {
@@ -40,8 +41,10 @@
 			Name: "redwingpath_store_era", Help: "Number of times that the store was restored from an older copy."}),
 		storeEraChanges: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "redwingpath_store_era_changes_total", Help: "Changes of the store's era that this host has seen."}),
+		engineTokens: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "redwingpath_engine_tokens", Help: "Estimated memory of the decode engines in tokens, in use and in total, by service."}, []string{"service", "state"}),
 	}
 	r.MustRegister(m.configurationVersion, m.storeUp, m.unreadableRecords, m.connections, m.messages, m.usageReports, m.dutyHolder,
-		m.evacuated, m.startingServers, m.storeEra, m.storeEraChanges)
+		m.evacuated, m.startingServers, m.storeEra, m.storeEraChanges, m.engineTokens)
 	return m
 }
--- a/pkg/placement/pace.go
+++ b/pkg/placement/pace.go
@@ -22,12 +22,12 @@
 	// minPace is the rate at which a server that does not respond in time is tried. Unit:
 	// requests per second.
 	minPace = 2
-	// observerShare is the observer's share of a pace, at most observerRate. partRate is the
+	// observerShare is the observer's share of a pace, at most observerRate. userRate is the
 	// part of each other user. A host of the deployments sends about 15 requests per second
 	// in total, so that the observer can send 4 of them to one server. Units: requests per
 	// second for the latter two.
 	observerShare          = 0.75
-	observerRate, partRate = 4.0, 1.0
+	observerRate, userRate = 4.0, 1.0
 	// spareShare is the share by which the requests at a server may grow on account of those
 	// that are held back from servers that start.
 	spareShare = 0.15
@@ -275,7 +275,7 @@
 	t.until, t.rank = later(p.at, s.pausedUntil).Add(paceTTL), f.userRank(s.ID, f.hosts)
 	hosts := max(len(f.hosts), len(f.members), 1)
 	observed := min(observerShare*p.perSecond, observerRate)
-	others := min(int(math.Ceil((p.perSecond-observed)/partRate)), hosts-1)
+	others := min(int(math.Ceil((p.perSecond-observed)/userRate)), hosts-1)
 	if others == 0 {
 		observed = p.perSecond
 	}
