--- a/pkg/placement/limits.go
+++ b/pkg/placement/limits.go
@@ -47,7 +47,7 @@
 	Incarnation int64
 	// PerSecond is the limit for all hosts together, NoLimit if there is none any more. If it
 	// is Observed and not positive, it is the negative number of requests with which the
-	// sender has had trouble.
+	// sender has had failures.
 	// Unit: requests per second.
 	PerSecond float64
 	// Age is the time since the response that stated it arrived.
--- a/pkg/placement/notices.go
+++ b/pkg/placement/notices.go
@@ -84,7 +84,7 @@
 	n.pausedUntil = until
 	if s := f.servers[b.ID]; s != nil && s.Incarnation == b.Incarnation {
 		f.heedNotice(s)
-		f.noteOwnTrouble(s, troublesToPace, now)
+		f.countOwnFailures(s, failuresToPace, now)
 		if s.pace != nil {
 			f.dividePace(s)
 		}
--- a/pkg/placement/pace.go
+++ b/pkg/placement/pace.go
@@ -9,7 +9,7 @@
 	"github.com/redwingpath/redwingpath/pkg/model"
 )
 
-// A server that has just started or had trouble begins with a small share of the requests,
+// A server that has just started or failed requests begins with a small share of the requests,
 // its pace, which grows as it responds in time. Hosts divide the pace like a limit that a
 // server states. The host of rank 0 among a server's users is its observer: it sends the
 // largest part, changes the pace and states it to the others. A pace is no hard limit: where
@@ -53,16 +53,16 @@
 	// takeOver is the time without a statement after which the next host by rank observes a
 	// server as well. It covers two repetitions, of which one is lost.
 	takeOver = 2 * time.Second
-	// troublesToPace is the number of troubles in troubleWindow at which slow start begins. A
-	// failed request is one trouble, since single requests fail for other reasons. A request
+	// failuresToPace is the number of failures in failureWindow at which slow start begins. A
+	// failed request counts as one, since single requests fail for other reasons. A request
 	// without any response and a pause are enough.
-	troublesToPace = 2
-	troubleWindow  = 3 * time.Second
-	// maxTroubleStatements bounds the servers in an update with which a host had trouble. A
-	// host that loses its way to a data centre has trouble with all servers there.
-	maxTroubleStatements = 4
-	// observerRest is the time after the end of a pace in which trouble of the observer
-	// begins no other one, peerRest that for trouble of others: such a host may have lost its
+	failuresToPace = 2
+	failureWindow  = 3 * time.Second
+	// maxFailureStatements bounds the servers in an update with which a host had failures. A
+	// host that loses its way to a data centre has failures with all servers there.
+	maxFailureStatements = 4
+	// observerRest is the time after the end of a pace in which failures of the observer
+	// begin no other one, peerRest that for failures of others: such a host may have lost its
 	// way to sound servers.
 	observerRest = 2 * time.Second
 	peerRest     = 10 * time.Second
@@ -218,27 +218,27 @@
 	}
 }
 
-// noteTrouble records a number of troubles that this host or a peer had with a server. As
+// countFailures records a number of failures that this host or a peer had with a server. As
 // its observer this host then begins its slow start. The caller holds f.mu.
-func (f *Fleet) noteTrouble(s *server, troubles int, rest time.Duration, now time.Time) {
-	if now.Sub(s.troubleAt) > troubleWindow {
-		s.troubles = 0
+func (f *Fleet) countFailures(s *server, failures int, rest time.Duration, now time.Time) {
+	if now.Sub(s.failedAt) > failureWindow {
+		s.failures = 0
 	}
-	s.troubleAt = now
-	s.troubles = min(s.troubles+troubles, troublesToPace)
-	if s.troubles >= troublesToPace && f.observes(s) {
+	s.failedAt = now
+	s.failures = min(s.failures+failures, failuresToPace)
+	if s.failures >= failuresToPace && f.observes(s) {
 		f.beginPace(s, rest, now)
 	}
 }
 
-// noteOwnTrouble is noteTrouble for this host's troubles. The caller holds f.mu.
-func (f *Fleet) noteOwnTrouble(s *server, troubles int, now time.Time) {
+// countOwnFailures is countFailures for this host's failures. The caller holds f.mu.
+func (f *Fleet) countOwnFailures(s *server, failures int, now time.Time) {
 	if !s.findsPace() || s.paced(now) {
 		return
 	}
-	f.noteTrouble(s, troubles, observerRest, now)
+	f.countFailures(s, failures, observerRest, now)
 	if !f.observes(s) {
-		s.unreportedTroubles = min(s.unreportedTroubles+troubles, troublesToPace)
+		s.unreportedFailures = min(s.unreportedFailures+failures, failuresToPace)
 	}
 }
 
@@ -347,9 +347,9 @@
 func (f *Fleet) noteFailure(s *server, o Outcome, sentAt, now time.Time) {
 	switch o {
 	case Silent:
-		f.noteOwnTrouble(s, troublesToPace, now)
+		f.countOwnFailures(s, failuresToPace, now)
 	case Refused, Failed:
-		f.noteOwnTrouble(s, 1, now)
+		f.countOwnFailures(s, 1, now)
 	default:
 		return
 	}
@@ -389,7 +389,7 @@
 	s.pace.unreported = changed
 }
 
-// handlePace applies a peer's statement about a pace, or about its trouble with a server. The
+// handlePace applies a peer's statement about a pace, or about its failures with a server. The
 // caller holds f.mu.
 func (f *Fleet) handlePace(l LimitStatement, now time.Time) {
 	s := f.servers[l.Backend]
@@ -400,7 +400,7 @@
 	switch {
 	case l.PerSecond <= 0:
 		if observer && !s.inTimeAt.After(at) {
-			f.noteTrouble(s, int(max(1, -l.PerSecond)), peerRest, now)
+			f.countFailures(s, int(max(1, -l.PerSecond)), peerRest, now)
 		}
 	case l.PerSecond == NoLimit:
 		if s.paced(now) && !observer && at.After(s.pace.at) {
@@ -423,11 +423,11 @@
 	}
 }
 
-// paces returns the statements about paces and troubles that the peers are told: changes, and
+// paces returns the statements about paces and failures that the peers are told: changes, and
 // in full updates again the paces that this host changes and their ends. It drops paces that have expired. The
 // caller holds f.mu.
 func (f *Fleet) paces(full bool, now time.Time) (list []LimitStatement) {
-	troubles := 0
+	failures := 0
 	for _, s := range f.servers {
 		if s.pace != nil && !s.paced(now) {
 			f.endPace(s, "slow start ends without responses", now)
@@ -436,7 +436,7 @@
 		l := LimitStatement{Backend: s.ID, Incarnation: s.Incarnation, Observed: true}
 		switch {
 		case s.pace != nil:
-			s.unreportedTroubles = 0
+			s.unreportedFailures = 0
 			if !s.pace.unreported && (!repeat || !s.changesPace(now)) {
 				continue
 			}
@@ -445,10 +445,10 @@
 		case (s.endUnreported || repeat) && now.Before(s.endStatedUntil):
 			l.PerSecond, l.Age = NoLimit, now.Sub(s.paceEndedAt)
 			s.endUnreported, s.paceStatedAt = false, now
-		case s.unreportedTroubles > 0 && troubles < maxTroubleStatements:
-			l.PerSecond, l.Age = -float64(s.unreportedTroubles), now.Sub(s.troubleAt)
-			s.unreportedTroubles = 0
-			troubles++
+		case s.unreportedFailures > 0 && failures < maxFailureStatements:
+			l.PerSecond, l.Age = -float64(s.unreportedFailures), now.Sub(s.failedAt)
+			s.unreportedFailures = 0
+			failures++
 		default:
 			continue
 		}
--- a/pkg/placement/pace_test.go
+++ b/pkg/placement/pace_test.go
@@ -487,9 +487,9 @@
 }
 
 // Guards against a host that has lost its way to sound servers and has all hosts hold back
-// requests from them, and against a server in trouble of which only other hosts know.
-func TestTroubleOfOneHostBeginsASlowStartOnlyWithoutEvidence(t *testing.T) {
-	trouble := []LimitStatement{{Backend: "c", Incarnation: 1, PerSecond: -1, Observed: true}}
+// requests from them, and against a failing server of which only other hosts know.
+func TestFailuresOfOneHostBeginsASlowStartOnlyWithoutEvidence(t *testing.T) {
+	failures := []LimitStatement{{Backend: "c", Incarnation: 1, PerSecond: -1, Observed: true}}
 	play := func(served bool, statements int) bool {
 		f, now := observerOf(t, 5)
 		f.endPace(f.servers["c"], "", epoch)
@@ -501,7 +501,7 @@
 			f.call(Served, now, 30*time.Millisecond)
 		}
 		for range statements {
-			f.HandleLimits(trouble, now)
+			f.HandleLimits(failures, now)
 		}
 		return f.servers["c"].paced(now)
 	}
--- a/pkg/placement/start.go
+++ b/pkg/placement/start.go
@@ -40,10 +40,10 @@
 	endUnreported               bool
 	// paceStatedAt is when the peers were told of a pace or its end.
 	paceStatedAt time.Time
-	// troubles counts the latest troubles with the server, of which the last was at
-	// troubleAt. unreportedTroubles are those of this host that the peers have not been told.
-	troubles, unreportedTroubles int
-	troubleAt                    time.Time
+	// failures counts the latest failures with the server, of which the last was at
+	// failedAt. unreportedFailures are those of this host that the peers have not been told.
+	failures, unreportedFailures int
+	failedAt                     time.Time
 	// inTimeAt is when the latest response in time arrived.
 	inTimeAt time.Time
 }
