End the bound of cold servers with the rate of the configuration

Cause: a configuration that takes the rate of cold servers back while one is cold left its bound, and the next change of the members dereferenced the missing traits: the process ended.

Change: an update without a rate ends the bound. Two long comments are wrapped.

Measured: TestBoundEndsWithTheRateOfTheConfiguration panics without the change and passes with it.

--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -48,8 +48,8 @@
 }
 
 // Explain answers where a request would go now, with the code that places requests, and
-// sends nothing. Keys, quotas and earlier crashes of the same request are not considered. The error is a *placequery.FieldError
-// or ErrNoConfiguration.
+// sends nothing. Keys, quotas and earlier crashes of the same request are not considered.
+// The error is a *placequery.FieldError or ErrNoConfiguration.
 func (g *Gateway) Explain(q placequery.Query) (placequery.Answer, error) {
 	now := time.Now()
 	e := &explainer{fleet: g.deps.Fleet}
--- a/pkg/placement/fleet.go
+++ b/pkg/placement/fleet.go
@@ -125,6 +125,9 @@
 	s.Backend = b
 	f.markEvacuated(s)
 	f.heedNotice(s)
+	if s.tolerates() <= 0 {
+		s.coldTurns = nil
+	}
 	f.updateMemory(s, sameLife)
 	if !sameLife {
 		s.turns, s.start = nil, start{}
--- a/pkg/placement/pace.go
+++ b/pkg/placement/pace.go
@@ -424,8 +424,8 @@
 }
 
 // paces returns the statements about paces and failures that the peers are told: changes, and
-// in full updates again the paces that this host changes and their ends. It drops paces that have expired. The
-// caller holds f.mu.
+// in full updates again the paces that this host changes and their ends. It drops paces that
+// have expired. The caller holds f.mu.
 func (f *Fleet) paces(full bool, now time.Time) (list []LimitStatement) {
 	failures := 0
 	for _, s := range f.servers {
--- a/pkg/placement/start.go
+++ b/pkg/placement/start.go
@@ -78,7 +78,7 @@
 	f.noteColdChange(s, until, now)
 	s.coldUntil = until
 	switch {
-	case !until.After(now) || s.Start == nil || s.Start.ColdPerSecond <= 0:
+	case !until.After(now) || s.tolerates() <= 0:
 		s.coldTurns = nil
 	case s.coldTurns.unlimited(now):
 		s.coldTurns = &turns{updatedAt: now}
@@ -103,10 +103,19 @@
 	}
 }
 
+// tolerates returns the rate that the server tolerates while it is cold, 0 if its service states
+// none. Unit: requests per second.
+func (s *server) tolerates() float64 {
+	if s.Start == nil {
+		return 0
+	}
+	return s.Start.ColdPerSecond
+}
+
 // coldBucket returns the rate and the burst of a cold server for all hosts together, whose
 // sum is what they send in any second at most.
 func (f *Fleet) coldBucket(s *server) (rate, depth float64) {
-	perSecond := s.Start.ColdPerSecond
+	perSecond := s.tolerates()
 	bound := coldMargin * (f.settings.ColdOvershoot*perSecond + f.settings.ColdSlack)
 	rate = min(perSecond, bound-minColdDepth)
 	if rate <= 0 {
--- a/pkg/placement/start_test.go
+++ b/pkg/placement/start_test.go
@@ -158,3 +158,22 @@
 	f.NoteCold("i-00", 0, epoch.Add(3100*time.Millisecond), epoch.Add(3100*time.Millisecond))
 	assert.True(t, s.unlimited(epoch.Add(3100*time.Millisecond)), "the server states that it is warm")
 }
+
+// Guards against a panic, and against a bound that holds on, where a configuration takes the
+// rate of cold servers back while one is cold.
+func TestBoundEndsWithTheRateOfTheConfiguration(t *testing.T) {
+	f := coldFleets(1, 1, epoch.Add(time.Minute), epoch, true)[0]
+	s := f.servers["i-00"]
+	assert.False(t, s.unlimited(epoch))
+	b := s.Backend
+	b.Start = nil
+	f.Update(b)
+	f.SetMembers([]string{"host-00", "host-01"})
+	assert.True(t, s.unlimited(epoch))
+	f.NoteCold("i-00", 0, epoch.Add(time.Minute), epoch)
+	assert.True(t, s.unlimited(epoch))
+	b.Start = &StartTraits{ColdPerSecond: 16}
+	f.Update(b)
+	f.NoteCold("i-00", 0, epoch.Add(time.Minute), epoch)
+	assert.False(t, s.unlimited(epoch), "the rate is stated again")
+}
--- a/pkg/placement/turns.go
+++ b/pkg/placement/turns.go
@@ -141,8 +141,8 @@
 	return latest, true
 }
 
-// turnRate returns the rate that the limits, apart from the pace, allow this host, 0 if there are none. Unit:
-// requests per second.
+// turnRate returns the rate that the limits, apart from the pace, allow this host, 0 if there
+// are none. Unit: requests per second.
 func (s *server) turnRate(now time.Time) (rate float64) {
 	for _, t := range s.limits() {
 		if !t.unlimited(now) && (rate == 0 || t.rate < rate) {
