--- a/review/standin-2/cutstream.go
+++ b/review/standin-2/cutstream.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -39,15 +40,21 @@
 	}
 	time.Sleep(2 * time.Second)
 	for round := range cutRounds {
-		if err := l.cutRound(round); err != nil {
+		if err := l.cutRound(round, nil); err != nil {
 			return err
 		}
 	}
-	return nil
+	if l.violated {
+		return nil
+	}
+	// A kernel that closes the listening socket of a killed process first hides the fault,
+	// unless the host asks only once the runner is back.
+	return l.cutRound(cutRounds, l.hosts[0])
 }
 
-// cutRound has all hosts forward streams, and kills the runner with the most of them.
-func (l *lab) cutRound(round int) error {
+// cutRound has all hosts forward streams, and kills the runner with the most of them. A host
+// that is not nil stands still meanwhile.
+func (l *lab) cutRound(round int, frozen *process) error {
 	before := map[*runnerProcess]int{}
 	for _, r := range l.runners {
 		before[r] = len(l.runs(r))
@@ -69,6 +76,11 @@
 				victim = r
 			}
 		}
+		if frozen != nil {
+			l.note("host %s is stopped", frozen.name)
+			frozen.signal(syscall.SIGSTOP)
+			time.Sleep(200 * time.Millisecond)
+		}
 		victim.end()
 		l.note("runner %s is killed", victim.name)
 		time.Sleep(2 * time.Second)
@@ -76,6 +88,11 @@
 			return err
 		}
 		l.note("runner %s is back", victim.name)
+		if frozen != nil {
+			time.Sleep(200 * time.Millisecond)
+			frozen.signal(syscall.SIGCONT)
+			l.note("host %s goes on", frozen.name)
+		}
 	}
 	group.Wait()
 	results := map[string]int{}
--- a/review/standin-2/lab.go
+++ b/review/standin-2/lab.go
@@ -58,11 +58,18 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &lab{dir: dir, network: fmt.Sprintf("127.%d.%d", 64+rand.Intn(128), rand.Intn(256)), trouble: os.Getenv("TROUBLE") != "0", record: record, started: time.Now()}
-	if l.store, err = openStore(l.network + ".1"); err != nil {
+	l := &lab{dir: dir, trouble: os.Getenv("TROUBLE") != "0", record: record, started: time.Now()}
+	// The ports are those of a deployment, on addresses of their own for each run.
+	for range 100 {
+		l.network = fmt.Sprintf("127.%d.%d", 64+rand.Intn(128), rand.Intn(256))
+		if l.store, err = openStore(l.network + ".1:8225"); err == nil {
+			break
+		}
+	}
+	if err != nil {
 		return nil, err
 	}
-	if l.api, err = openAPI(l.network + ".1"); err != nil {
+	if l.api, err = openAPI(l.network + ".2:8225"); err != nil {
 		return nil, err
 	}
 	l.note("trouble %v, logs of the hosts in a temporary folder", l.trouble)
@@ -113,15 +120,6 @@
 
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
-func freePort(ip string) (string, error) {
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
-
 // zones are the zones of the small deployment.
 var zones = []string{"armenia", "pereira", "manizales"}
 
@@ -130,12 +128,7 @@
 	var seeds []string
 	for i := range n {
 		p := &process{name: fmt.Sprintf("edge-%s-%d", zones[i%len(zones)], i/len(zones)+1), ip: fmt.Sprintf("%s.%d", l.network, 10+i)}
-		for _, a := range []*string{&p.front, &p.ready, &p.control} {
-			var err error
-			if *a, err = freePort(p.ip); err != nil {
-				return err
-			}
-		}
+		p.front, p.ready, p.control = p.ip+":8221", p.ip+":8224", p.ip+":8229"
 		l.hosts = append(l.hosts, p)
 		if len(seeds) < 3 {
 			seeds = append(seeds, p.control)
@@ -241,10 +234,7 @@
 // addRunner starts a runner as a process of its own and keeps its entry in the store.
 func (l *lab) addRunner(id, service, zone, stage string, args ...string) (*runnerProcess, error) {
 	r := &runnerProcess{process: process{name: id, ip: fmt.Sprintf("%s.%d", l.network, 100+len(l.runners))}, service: service, zone: zone, stage: stage, args: args, stop: make(chan struct{})}
-	var err error
-	if r.address, err = freePort(r.ip); err != nil {
-		return nil, err
-	}
+	r.address = r.ip + ":8080"
 	l.runners = append(l.runners, r)
 	return r, l.startRunner(r)
 }
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -35,8 +35,8 @@
 	offset uint64
 }
 
-func openStore(host string) (*store, error) {
-	listener, err := net.Listen("tcp", host+":0")
+func openStore(address string) (*store, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -163,8 +163,8 @@
 }
 
 // openAPI starts the platform's API, which accepts every call.
-func openAPI(host string) (string, error) {
-	listener, err := net.Listen("tcp", host+":0")
+func openAPI(address string) (string, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return "", err
 	}
