Review: a stream goes on at another runner while the slow one works on it

A stream that may be resumed is taken away from a runner whose first event is late by closing its connection. A runner that does not drop the request then goes on beside the next one.

--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -8,8 +8,11 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -23,6 +26,9 @@
 	events := flags.Int("events", 20, "events of a stream")
 	pause := flags.Duration("pause", 150*time.Millisecond, "pause between events")
 	unframed := flags.Bool("unframed", false, "answers have no length and end with their connection")
+	first := flags.Duration("first", 0, "time to the first event, beside the pause")
+	keeps := flags.Bool("keeps", false, "goes on with a request whose connection has closed")
+	slow := flags.Float64("slow", 5, "factor by which the runner works longer between SIGUSR1 and SIGUSR2")
 	_ = flags.Parse(args)
 	var listener net.Listener
 	var err error
@@ -36,7 +42,19 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	r := &runner{id: *id, stage: *stage, events: *events, pause: *pause, unframed: *unframed}
+	r := &runner{id: *id, stage: *stage, events: *events, pause: *pause, unframed: *unframed, first: *first, keeps: *keeps}
+	r.factor.Store(1000)
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGUSR2)
+	go func() {
+		for s := range signals {
+			if s == syscall.SIGUSR1 {
+				r.factor.Store(int64(*slow * 1000))
+			} else {
+				r.factor.Store(1000)
+			}
+		}
+	}()
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -51,8 +69,29 @@
 	events    int
 	pause     time.Duration
 	unframed  bool
+	first     time.Duration
+	keeps     bool
+	// factor is how much longer the runner works than usual, in thousandths.
+	factor atomic.Int64
 }
 
+// work waits for as long as the runner needs for work of a usual length. It reports false if the
+// runner drops the request, since its connection has closed.
+func (r *runner) work(usual time.Duration, closed <-chan struct{}) bool {
+	if r.keeps {
+		closed = nil
+	}
+	select {
+	case <-time.After(usual * time.Duration(r.factor.Load()) / 1000):
+		return true
+	case <-closed:
+		return false
+	}
+}
+
+// stamp returns the time of a line.
+func stamp() int64 { return time.Now().UnixMilli() }
+
 func (r *runner) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
@@ -64,14 +103,23 @@
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
-		if !r.respond(conn, req) {
+		// The next byte is that of the next request, unless the connection has closed.
+		closed, next := make(chan struct{}), make(chan struct{})
+		go func() {
+			if _, err := reader.Peek(1); err != nil {
+				close(closed)
+			}
+			close(next)
+		}()
+		if !r.respond(conn, req, closed) {
 			return
 		}
+		<-next
 	}
 }
 
 // respond answers a request and reports whether the connection is kept.
-func (r *runner) respond(conn net.Conn, req *http.Request) bool {
+func (r *runner) respond(conn net.Conn, req *http.Request, closed <-chan struct{}) bool {
 	attempt := req.Header.Get("Attempt-Id")
 	head := "Instance-Id: " + r.id + "\r\n"
 	if attempt != "" {
@@ -91,9 +139,11 @@
 		return plain("400 Bad Request", "Not-Executed: 1\r\n", "")
 	}
 	head += "Response-Seal: seal-" + r.id + "\r\n"
-	fmt.Printf("run %s\n", attempt)
+	fmt.Printf("run %s %d\n", attempt, stamp())
 	if r.stage == "" {
-		time.Sleep(r.pause)
+		if !r.work(r.pause, closed) {
+			return false
+		}
 		return plain("200 OK", "", "answer "+attempt)
 	}
 	framing, chunk := "Transfer-Encoding: chunked\r\n", func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
@@ -104,15 +154,22 @@
 		return false
 	}
 	from, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
-	for i := from + 1; i <= r.events; i++ {
-		time.Sleep(r.pause)
+	open := r.work(r.first, closed)
+	for i := from + 1; i <= r.events && (open || r.keeps); i++ {
+		if !r.work(r.pause, closed) {
+			open = false
+			break
+		}
 		if _, err := io.WriteString(conn, chunk(event(attempt, i))); err != nil {
-			fmt.Printf("broken %s after %d\n", attempt, i-1)
-			return false
+			open = false
 		}
-		fmt.Printf("sent %s %d\n", attempt, i)
+		fmt.Printf("sent %s %d %d\n", attempt, stamp(), i)
+	}
+	if !open {
+		fmt.Printf("dropped %s %d\n", attempt, stamp())
+		return false
 	}
-	fmt.Printf("done %s\n", attempt)
+	fmt.Printf("done %s %d\n", attempt, stamp())
 	if !r.unframed {
 		_, err := io.WriteString(conn, "0\r\n\r\n")
 		return err == nil
